--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Workspace of packages. make, make check, make demo; see README.md.
+CC      = gcc
+CXX     = g++
+BUILD  ?= build/release
+OPT    ?= -O2
+PKGS    = glib-2.0 jansson libfyaml msgpack libmicrohttpd libcurl argtable2 ck libxxhash
+WARN    = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-function
+LAYERS  = base transport protocol state coordination
+INC     = $(patsubst %,-iquote packages/%,$(LAYERS) daemon cli)
+CFLAGS  = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread $(INC) $(shell pkg-config --cflags $(PKGS))
+CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread -Wall -Wextra $(INC) $(shell pkg-config --cflags $(PKGS))
+LIBS    = $(shell pkg-config --libs $(PKGS)) -lm
+
+layer_objs = $(patsubst packages/%.c,$(BUILD)/%.o,$(wildcard packages/$(1)/*.c))
+LIB_OBJS   = $(foreach l,$(LAYERS),$(call layer_objs,$(l)))
+LIB        = $(BUILD)/libdamaskpath.a
+BINS       = $(BUILD)/damaskpathd $(BUILD)/damaskpath $(BUILD)/standin-store $(BUILD)/standin-upstream
+
+all: $(BINS)
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/%.o: packages/%.c
+	@mkdir -p $(@D)
+	@echo "CC $<"; $(CC) $(CFLAGS) $(WARN) -MMD -c -o $@ $<
+
+$(BUILD)/damaskpathd: $(call layer_objs,daemon) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/damaskpath: $(call layer_objs,cli) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/standin/standin-%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+packages:
+	@scripts/packages
+
+demo: packages
+	@$(MAKE) -s -j8 all
+	@scripts/demo
+
+check: all
+	@scripts/check
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all packages demo check clean
--- /dev/null
+++ b/packages/base/base.h
@@ -0,0 +1,219 @@
+#ifndef DP_BASE_H
+#define DP_BASE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <sys/queue.h>
+#include <time.h>
+
+#define DP_VERSION "0.1.0"
+
+#define NSEC_PER_SEC  INT64_C(1000000000)
+#define NSEC_PER_MSEC INT64_C(1000000)
+
+#define ARRAY_LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+/* xmalloc.c */
+void *xmalloc(size_t size);
+void *xcalloc(size_t count, size_t size);
+void *xreallocarray(void *ptr, size_t count, size_t size);
+char *xstrdup(const char *s);
+void xasprintf(char **out, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void xfreep(void *p);
+#define CLEANUP(fn) __attribute__((cleanup(fn)))
+#define AUTOFREE    CLEANUP(xfreep)
+
+/* bytes.c: owned byte strings. */
+struct bytes {
+	void *data;
+	size_t len;
+};
+struct bytes bytes_copy(const void *data, size_t len);
+void bytes_clear(struct bytes *b);
+
+/* error.c */
+
+/* The closed list of error kinds; error_answers[] says what each one means to a caller. */
+enum error_kind {
+	ERR_INVALID,
+	ERR_TOO_LARGE,
+	ERR_UNAUTHORISED,
+	ERR_FORBIDDEN,
+	ERR_NOT_FOUND,
+	ERR_CONFLICT,
+	ERR_KEY_REUSED,
+	ERR_IMPOSSIBLE,
+	ERR_QUOTA,
+	ERR_OVERLOAD,
+	ERR_DEADLINE,
+	ERR_NO_COORDINATOR,
+	ERR_STORE_DOWN,
+	ERR_STORE_UNSURE,
+	ERR_DRAINING,
+	ERR_UPSTREAM_FAILED,
+	ERR_MEMBER_LOST,
+	ERR_UNKNOWN_OUTCOME,
+	ERR_CANCELLED,
+	ERR_PROTOCOL,
+	ERR_INTERNAL,
+	ERR_COUNT
+};
+
+/* Whether repeating the request can help. */
+enum error_retry {
+	RETRY_NEVER,
+	RETRY_AFTER_CHANGE,
+	RETRY_LATER
+};
+
+/*
+ * What a caller is told for a kind. not_run is true only where the kind by itself proves that
+ * no part of the job was run.
+ */
+struct error_answer {
+	const char *name;
+	const char *title;
+	int status;
+	bool not_run;
+	enum error_retry retry;
+	int retry_after_s;
+	int exit_code;
+};
+
+#define DP_ERROR error_quark()
+GQuark error_quark(void);
+const struct error_answer *error_answer(enum error_kind kind);
+const struct error_answer *error_answer_of(const GError *err);
+enum error_kind error_kind_of(const GError *err);
+bool error_kind_parse(const char *name, enum error_kind *kind);
+void error_set(GError **err, enum error_kind kind, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* clock.c: all times are nanoseconds; monotonic unless the name says wall. */
+struct clock {
+	int64_t (*monotonic)(void *arg);
+	int64_t (*wall)(void *arg);
+	void *arg;
+};
+extern const struct clock clock_system;
+int64_t clock_now(const struct clock *c);
+int64_t clock_wall(const struct clock *c);
+char *clock_format_wall(int64_t wall_ns);
+bool duration_parse(const char *text, int64_t *ns);
+char *duration_format(int64_t ns);
+
+/* log.c */
+enum log_level {
+	LOG_LEVEL_ERROR,
+	LOG_LEVEL_WARNING,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_DEBUG
+};
+void log_set_level(enum log_level level);
+bool log_level_parse(const char *name, enum log_level *level);
+void log_write(enum log_level level, const char *part, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+#define log_error(part, ...)   log_write(LOG_LEVEL_ERROR, part, __VA_ARGS__)
+#define log_warning(part, ...) log_write(LOG_LEVEL_WARNING, part, __VA_ARGS__)
+#define log_info(part, ...)    log_write(LOG_LEVEL_INFO, part, __VA_ARGS__)
+#define log_debug(part, ...)   log_write(LOG_LEVEL_DEBUG, part, __VA_ARGS__)
+
+/* counter.c: named process-wide counters, printed in the usual text format. */
+struct counter {
+	const char *name;
+	const char *help;
+	bool gauge;
+	uint64_t value;
+	SLIST_ENTRY(counter) entry;
+};
+void counter_register(struct counter *c);
+void counter_add(struct counter *c, uint64_t n);
+void counter_set(struct counter *c, uint64_t value);
+uint64_t counter_get(const struct counter *c);
+char *counter_render(void);
+#define COUNTER(var, cname, chelp)                                                             \
+	static struct counter var = {.name = (cname), .help = (chelp)};                        \
+	__attribute__((constructor)) static void var##_register(void)                          \
+	{                                                                                      \
+		counter_register(&var);                                                        \
+	}                                                                                      \
+	struct counter
+#define GAUGE(var, cname, chelp)                                                               \
+	static struct counter var = {.name = (cname), .help = (chelp), .gauge = true};         \
+	__attribute__((constructor)) static void var##_register(void)                          \
+	{                                                                                      \
+		counter_register(&var);                                                        \
+	}                                                                                      \
+	struct counter
+
+/* option.c: one table of settings drives flags, environment, checks and help. */
+enum option_type {
+	OPTION_STRING,
+	OPTION_NUMBER,
+	OPTION_DURATION,
+	OPTION_FLAG
+};
+struct option_entry {
+	const char *name;
+	enum option_type type;
+	const char *fallback;
+	int64_t min;
+	int64_t max;
+	const char *roles;
+	const char *help;
+};
+struct option_value {
+	char *text;
+	int64_t number;
+};
+struct options;
+struct options *options_parse(const struct option_entry *table, size_t count, const char *role,
+	int argc, char **argv, GError **err);
+void options_free(struct options *o);
+const char *options_string(const struct options *o, const char *name);
+int64_t options_number(const struct options *o, const char *name);
+void options_help(FILE *out, const struct option_entry *table, size_t count, const char *role);
+
+/* random.c */
+uint64_t random_u64(void);
+void random_bytes(void *out, size_t len);
+char *random_hex(size_t bytes);
+
+/* loop.c: an event loop of one thread: file descriptors, timers and posted calls. */
+struct loop;
+typedef void loop_fn(void *arg);
+typedef void loop_fd_fn(uint32_t events, void *arg);
+struct loop_timer;
+struct loop *loop_new(const struct clock *clock);
+void loop_free(struct loop *l);
+void loop_run(struct loop *l);
+void loop_stop(struct loop *l);
+void loop_post(struct loop *l, loop_fn *fn, void *arg);
+void loop_add_fd(struct loop *l, int fd, uint32_t events, loop_fd_fn *fn, void *arg);
+void loop_set_fd(struct loop *l, int fd, uint32_t events);
+void loop_del_fd(struct loop *l, int fd);
+struct loop_timer *loop_timer_add(
+	struct loop *l, int64_t delay, int64_t period, loop_fn *fn, void *arg);
+void loop_timer_del(struct loop *l, struct loop_timer *t);
+int64_t loop_now(struct loop *l);
+const struct clock *loop_clock(struct loop *l);
+
+/*
+ * rcu.c: values that any thread reads without a lock. A reader brackets its use with enter and
+ * leave; publish replaces the value and frees the old one once no reader can have it.
+ */
+void rcu_enter(void);
+void rcu_leave(void);
+void *rcu_read(void *const *slot);
+void rcu_publish(void **slot, void *value, void (*free_fn)(void *));
+
+/* work.c: a small pool of threads for blocking calls; done runs on the loop. */
+struct work_pool;
+struct work_pool *work_pool_new(struct loop *l, unsigned int threads);
+void work_pool_free(struct work_pool *p);
+void work_submit(struct work_pool *p, loop_fn *run, loop_fn *done, void *arg);
+
+#endif
--- /dev/null
+++ b/packages/base/clock.c
@@ -0,0 +1,101 @@
+#include "base.h"
+
+#include <inttypes.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Read one of the system's clocks. */
+static int64_t system_read(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (int64_t)ts.tv_sec * NSEC_PER_SEC + ts.tv_nsec;
+}
+
+static int64_t system_monotonic(void *arg)
+{
+	(void)arg;
+	return system_read(CLOCK_MONOTONIC);
+}
+
+static int64_t system_wall(void *arg)
+{
+	(void)arg;
+	return system_read(CLOCK_REALTIME);
+}
+
+const struct clock clock_system = {.monotonic = system_monotonic, .wall = system_wall};
+
+/* Monotonic nanoseconds. */
+int64_t clock_now(const struct clock *c)
+{
+	return c->monotonic(c->arg);
+}
+
+/* Nanoseconds since 1970. */
+int64_t clock_wall(const struct clock *c)
+{
+	return c->wall(c->arg);
+}
+
+/* A wall time as text in UTC with milliseconds. */
+char *clock_format_wall(int64_t wall_ns)
+{
+	time_t secs = (time_t)(wall_ns / NSEC_PER_SEC);
+	int ms = (int)(wall_ns % NSEC_PER_SEC / NSEC_PER_MSEC);
+	struct tm tm;
+	char day[32];
+	char *out;
+
+	gmtime_r(&secs, &tm);
+	strftime(day, sizeof(day), "%Y-%m-%dT%H:%M:%S", &tm);
+	xasprintf(&out, "%s.%03dZ", day, ms);
+	return out;
+}
+
+/* The units that a duration may carry. */
+static const struct duration_unit {
+	const char *name;
+	int64_t ns;
+} duration_units[] = {
+	{"ms", NSEC_PER_MSEC},
+	{"s", NSEC_PER_SEC},
+	{"m", 60 * NSEC_PER_SEC},
+	{"h", 3600 * NSEC_PER_SEC},
+	{"d", 86400 * NSEC_PER_SEC},
+};
+
+/* Parse "250ms", "9.4s", "2h"; the unit must be there. */
+bool duration_parse(const char *text, int64_t *ns)
+{
+	char *end;
+	double value = g_ascii_strtod(text, &end);
+
+	if (end == text || value < 0 || value > 1e9)
+		return false;
+	for (size_t i = 0; i < ARRAY_LEN(duration_units); i++) {
+		if (strcmp(end, duration_units[i].name) == 0) {
+			*ns = (int64_t)(value * (double)duration_units[i].ns);
+			return true;
+		}
+	}
+	return false;
+}
+
+/* A duration in the largest unit that keeps it readable. */
+char *duration_format(int64_t ns)
+{
+	char *out;
+
+	if (ns < NSEC_PER_SEC)
+		xasprintf(&out, "%" PRId64 "ms", ns / NSEC_PER_MSEC);
+	else if (ns < 600 * NSEC_PER_SEC)
+		xasprintf(&out, "%.1fs", (double)ns / (double)NSEC_PER_SEC);
+	else if (ns < 3 * 3600 * NSEC_PER_SEC)
+		xasprintf(&out, "%.1fm", (double)ns / 60.0 / (double)NSEC_PER_SEC);
+	else
+		xasprintf(&out, "%.1fh", (double)ns / 3600.0 / (double)NSEC_PER_SEC);
+	return out;
+}
--- /dev/null
+++ b/packages/base/error.c
@@ -0,0 +1,101 @@
+#include "base.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+/*
+ * The table from kind to answer. A row that says not_run is sent only by code that has made
+ * sure that no member was started; the kinds for an uncertain end never say it.
+ */
+static const struct error_answer error_answers[ERR_COUNT] = {
+	[ERR_INVALID] = {"invalid", "The request is malformed", 400, true, RETRY_AFTER_CHANGE,
+		0, 2},
+	[ERR_TOO_LARGE] = {"too_large", "The request is too large", 413, true,
+		RETRY_AFTER_CHANGE, 0, 2},
+	[ERR_UNAUTHORISED] = {"unauthorised", "A valid bearer token is needed", 401, true,
+		RETRY_AFTER_CHANGE, 0, 3},
+	[ERR_FORBIDDEN] = {"forbidden", "The token does not cover this", 403, true,
+		RETRY_AFTER_CHANGE, 0, 3},
+	[ERR_NOT_FOUND] = {"not_found", "There is no such thing", 404, false, RETRY_NEVER, 0,
+		4},
+	[ERR_CONFLICT] = {"conflict", "Somebody else changed it first", 409, true,
+		RETRY_AFTER_CHANGE, 0, 5},
+	[ERR_KEY_REUSED] = {"key_reused", "The idempotency key belongs to another request", 422,
+		true, RETRY_AFTER_CHANGE, 0, 5},
+	[ERR_IMPOSSIBLE] = {"impossible", "The job can never run", 422, true,
+		RETRY_AFTER_CHANGE, 0, 6},
+	[ERR_QUOTA] = {"quota", "The quota does not allow the job", 422, true,
+		RETRY_AFTER_CHANGE, 0, 6},
+	[ERR_OVERLOAD] = {"overload", "Too many requests are waiting", 429, true, RETRY_LATER,
+		5, 7},
+	[ERR_DEADLINE] = {"deadline", "The deadline cannot be met", 504, true,
+		RETRY_AFTER_CHANGE, 0, 8},
+	[ERR_NO_COORDINATOR] = {"no_coordinator", "No coordinator can be reached", 503, true,
+		RETRY_LATER, 3, 7},
+	[ERR_STORE_DOWN] = {"store_down", "The store cannot be reached", 503, true, RETRY_LATER,
+		10, 7},
+	[ERR_STORE_UNSURE] = {"store_unsure", "The store did not say whether it wrote", 503,
+		false, RETRY_LATER, 10, 7},
+	[ERR_DRAINING] = {"draining", "This process is stopping", 503, true, RETRY_LATER, 1, 7},
+	[ERR_UPSTREAM_FAILED] = {"upstream_failed", "The upstream failed the job", 502, false,
+		RETRY_LATER, 5, 9},
+	[ERR_MEMBER_LOST] = {"member_lost", "A worker was lost while the job ran", 502, false,
+		RETRY_LATER, 5, 9},
+	[ERR_UNKNOWN_OUTCOME] = {"unknown_outcome", "It is not known whether the job ran", 502,
+		false, RETRY_NEVER, 0, 10},
+	[ERR_CANCELLED] = {"cancelled", "The job was cancelled", 409, false, RETRY_NEVER, 0,
+		11},
+	[ERR_PROTOCOL] = {"protocol", "A peer broke the protocol", 502, false, RETRY_LATER, 5,
+		9},
+	[ERR_INTERNAL] = {"internal", "An internal error", 500, false, RETRY_LATER, 5, 12},
+};
+
+/* The GError domain of the project. */
+GQuark error_quark(void)
+{
+	return g_quark_from_static_string("damaskpath");
+}
+
+/* The answer for a kind. */
+const struct error_answer *error_answer(enum error_kind kind)
+{
+	return &error_answers[kind < ERR_COUNT ? kind : ERR_INTERNAL];
+}
+
+/* The kind of an error; errors of other domains count as internal. */
+enum error_kind error_kind_of(const GError *err)
+{
+	if (err == NULL || err->domain != DP_ERROR || err->code >= ERR_COUNT)
+		return ERR_INTERNAL;
+	return (enum error_kind)err->code;
+}
+
+/* The answer for an error. */
+const struct error_answer *error_answer_of(const GError *err)
+{
+	return error_answer(error_kind_of(err));
+}
+
+/* Find a kind by its name. */
+bool error_kind_parse(const char *name, enum error_kind *kind)
+{
+	for (int i = 0; name != NULL && i < ERR_COUNT; i++) {
+		if (strcmp(error_answers[i].name, name) == 0) {
+			*kind = (enum error_kind)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Set an error with a formatted message; err may be NULL. */
+void error_set(GError **err, enum error_kind kind, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (err == NULL || *err != NULL)
+		return;
+	va_start(ap, fmt);
+	*err = g_error_new_valist(DP_ERROR, (int)kind, fmt, ap);
+	va_end(ap);
+}
--- /dev/null
+++ b/packages/cli/cmd-cluster.c
@@ -0,0 +1,171 @@
+#include "cli.h"
+
+#include <string.h>
+
+/* GET a list and keep the rows whose key has a value, if one is given. */
+static int fetch_rows(
+	struct cli *c, const char *path, const char *key, const char *value, json_t **rows)
+{
+	struct answer out;
+	size_t i;
+	json_t *row;
+	int code = EXIT_OK;
+
+	*rows = json_array();
+	if (!client_call(c, "GET", path, NULL, &out))
+		return error_answer(ERR_NO_COORDINATOR)->exit_code;
+	if (out.status != 200)
+		code = client_fail(&out);
+	json_array_foreach(out.status == 200 ? out.json : NULL, i, row) {
+		const char *have =
+			key != NULL ? json_string_value(json_object_get(row, key)) : NULL;
+
+		if (key == NULL || (have != NULL && strcmp(have, value) == 0))
+			json_array_append(*rows, row);
+	}
+	answer_clear(&out);
+	if (code == EXIT_OK && key != NULL && json_array_size(*rows) == 0) {
+		fprintf(stderr, "damaskpath: there is no %s %s\n", key, value);
+		code = error_answer(ERR_NOT_FOUND)->exit_code;
+	}
+	return code;
+}
+
+/* Fetch and print rows. */
+static int show_rows(struct cli *c, const char *path, const char *key, const char *value,
+	const struct column *columns, size_t len)
+{
+	json_t *rows;
+	int code = fetch_rows(c, path, key, value, &rows);
+
+	if (code == EXIT_OK && c->json)
+		print_json(rows);
+	else if (code == EXIT_OK)
+		print_table(rows, columns, len);
+	json_decref(rows);
+	return code;
+}
+
+static const struct column org_columns[] = {{"ORGANISATION", "organisation"}, {"CELL", "cell"},
+	{"GUARANTEED", "guaranteed"}, {"USED", "used"}, {"LENT", "lent"},
+	{"BORROWED", "borrowed"}, {"QUEUED", "queued"}, {"IMPOSSIBLE", "impossible"},
+	{"RECLAIMABLE WITHIN", "reclaimable_within_ms"}};
+
+/* org list */
+int cmd_org_list(struct cli *c, int argc, char **argv)
+{
+	AUTOFREE char *path = NULL;
+
+	(void)argv;
+	xasprintf(&path, "/v1/organisations%s%s", c->org != NULL ? "?organisation=" : "",
+		c->org != NULL ? c->org : "");
+	return argc == 0 ? show_rows(c, path, NULL, NULL, org_columns, ARRAY_LEN(org_columns))
+			 : EXIT_USAGE;
+}
+
+/* org show */
+int cmd_org_show(struct cli *c, int argc, char **argv)
+{
+	AUTOFREE char *path = NULL;
+
+	if (argc != 1)
+		return EXIT_USAGE;
+	xasprintf(&path, "/v1/organisations?organisation=%s", argv[0]);
+	return show_rows(c, path, "organisation", argv[0], org_columns, ARRAY_LEN(org_columns));
+}
+
+static const struct column worker_columns[] = {{"WORKER", "worker"}, {"CELL", "cell"},
+	{"RACK", "rack"}, {"STATE", "state"}, {"ACC", "accelerators"}, {"USED", "used"},
+	{"PROMISED", "promised"}, {"JOBS", "jobs"}, {"SLOTS", "slots"}, {"CONFIG", "config"},
+	{"AGENT", "agent"}};
+
+/* worker list */
+int cmd_worker_list(struct cli *c, int argc, char **argv)
+{
+	(void)argv;
+	return argc == 0 ? show_rows(c, "/v1/workers", NULL, NULL, worker_columns,
+				   ARRAY_LEN(worker_columns))
+			 : EXIT_USAGE;
+}
+
+/* worker show */
+int cmd_worker_show(struct cli *c, int argc, char **argv)
+{
+	return argc == 1 ? show_rows(c, "/v1/workers", "worker", argv[0], worker_columns,
+				   ARRAY_LEN(worker_columns))
+			 : EXIT_USAGE;
+}
+
+/* Drain a worker, or end that. */
+static int drain(struct cli *c, const char *worker, const char *on)
+{
+	AUTOFREE char *path = NULL;
+	struct answer out;
+	int code;
+
+	xasprintf(&path, "/v1/workers/%s/drain?on=%s", worker, on);
+	if (!client_call(c, "POST", path, "", &out))
+		return error_answer(ERR_NO_COORDINATOR)->exit_code;
+	code = out.status == 200 ? EXIT_OK : client_fail(&out);
+	if (code == EXIT_OK && json_array_size(out.json) == 0) {
+		fprintf(stderr, "damaskpath: there is no worker %s\n", worker);
+		code = error_answer(ERR_NOT_FOUND)->exit_code;
+	}
+	answer_clear(&out);
+	return code;
+}
+
+/* worker drain */
+int cmd_worker_drain(struct cli *c, int argc, char **argv)
+{
+	return argc == 1 ? drain(c, argv[0], "yes") : EXIT_USAGE;
+}
+
+/* worker undrain */
+int cmd_worker_undrain(struct cli *c, int argc, char **argv)
+{
+	return argc == 1 ? drain(c, argv[0], "no") : EXIT_USAGE;
+}
+
+/* cell list */
+int cmd_cell_list(struct cli *c, int argc, char **argv)
+{
+	static const struct column columns[] = {{"CELL", "cell"}, {"TERM", "term"},
+		{"SETTLED", "settled"}, {"STORE", "store"}, {"CONFIG", "config"},
+		{"WORKERS", "workers"}, {"ACC", "accelerators"}, {"FREE", "free"},
+		{"IN WORKER", "largest_in_worker"}, {"IN RACK", "largest_in_rack"},
+		{"QUEUED", "queued"}, {"PLACED", "placed"}, {"OLDEST", "oldest_ms"},
+		{"FRAGMENTATION", "fragmentation"}};
+
+	(void)argv;
+	return argc == 0 ? show_rows(c, "/v1/cells", NULL, NULL, columns, ARRAY_LEN(columns))
+			 : EXIT_USAGE;
+}
+
+/* audit: edits, then changes of jobs. */
+int cmd_audit(struct cli *c, int argc, char **argv)
+{
+	static const struct column columns[] = {{"WHEN", "when"}, {"WHAT", "what"},
+		{"WHO", "who"}, {"SECTION", "section"}, {"FROM", "from"}, {"TO", "to"},
+		{"JOB", "job"}, {"DETAIL", "detail"}};
+	json_t *edits;
+	json_t *jobs = NULL;
+	int code;
+
+	(void)argv;
+	if (argc != 0)
+		return EXIT_USAGE;
+	code = fetch_rows(c, "/v1/config-history", NULL, NULL, &edits);
+	if (code == EXIT_OK)
+		code = fetch_rows(c, "/v1/audit", NULL, NULL, &jobs);
+	if (code == EXIT_OK) {
+		json_array_extend(edits, jobs);
+		if (c->json)
+			print_json(edits);
+		else
+			print_table(edits, columns, ARRAY_LEN(columns));
+	}
+	json_decref(edits);
+	json_decref(jobs);
+	return code;
+}
--- /dev/null
+++ b/packages/cli/main.c
@@ -0,0 +1,82 @@
+#include "cli.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRY_DEFAULT "127.0.0.1:8080"
+
+/* Print how the program is called. */
+static void print_usage(FILE *out)
+{
+	fprintf(out,
+		"usage: damaskpath [--entry ADDR[,ADDR...]] [--token T] [--org O] [--json] "
+		"COMMAND ...\n\ncommands:\n");
+	for (size_t i = 0; i < cmd_table_len; i++)
+		fprintf(out, "  %-15s %-22s %s\n", cmd_table[i].name,
+			strlen(cmd_table[i].usage) > 22 ? "..." : cmd_table[i].usage,
+			cmd_table[i].help);
+	fprintf(out,
+		"\nThe options may also be given as DAMASKPATH_ENTRY, DAMASKPATH_TOKEN and "
+		"DAMASKPATH_ORG.\n");
+}
+
+/* The value of an environment variable, or a default. */
+static const char *env_or(const char *name, const char *missing)
+{
+	const char *v = getenv(name);
+
+	return v != NULL && *v != '\0' ? v : missing;
+}
+
+/* Take the options before the command; returns how many words, -1 for a bad one. */
+static int take_options(struct cli *c, const char **entries, int argc, char **argv)
+{
+	int i = 1;
+
+	for (; i < argc && strncmp(argv[i], "--", 2) == 0; i++) {
+		if (strcmp(argv[i], "--json") == 0)
+			c->json = true;
+		else if (i + 1 < argc && strcmp(argv[i], "--entry") == 0)
+			*entries = argv[++i];
+		else if (i + 1 < argc && strcmp(argv[i], "--token") == 0)
+			c->token = argv[++i];
+		else if (i + 1 < argc && strcmp(argv[i], "--org") == 0)
+			c->org = argv[++i];
+		else
+			return -1;
+	}
+	return i;
+}
+
+int main(int argc, char **argv)
+{
+	struct cli c = {.token = env_or("DAMASKPATH_TOKEN", NULL),
+		.org = env_or("DAMASKPATH_ORG", NULL)};
+	const char *entries = env_or("DAMASKPATH_ENTRY", ENTRY_DEFAULT);
+	const struct cmd_entry *cmd;
+	int used = 0;
+	int code;
+	int at;
+
+	if (argc > 1 && strcmp(argv[1], "--version") == 0) {
+		printf("damaskpath %s\n", DP_VERSION);
+		return EXIT_OK;
+	}
+	if (argc > 1 && strcmp(argv[1], "--help") == 0) {
+		print_usage(stdout);
+		return EXIT_OK;
+	}
+	at = take_options(&c, &entries, argc, argv);
+	cmd = at > 0 ? cmd_find(argc - at, argv + at, &used) : NULL;
+	if (cmd == NULL) {
+		print_usage(stderr);
+		return EXIT_USAGE;
+	}
+	log_set_level(LOG_LEVEL_WARNING);
+	c.entries = g_strsplit(entries, ",", -1);
+	code = cmd->exec(&c, argc - at - used, argv + at + used);
+	if (code == EXIT_USAGE && argc - at - used == 0)
+		fprintf(stderr, "usage: damaskpath %s %s\n", cmd->name, cmd->usage);
+	g_strfreev(c.entries);
+	return code;
+}
--- /dev/null
+++ b/packages/coordination/coord-agent.c
@@ -0,0 +1,293 @@
+#include "coord-private.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+COUNTER(agents_lost, "damaskpath_agents_lost_total", "Agents declared dead.");
+
+static const struct field_table *report_fields(void);
+
+/* Free an agent's record. */
+void agent_record_free(void *p)
+{
+	struct coord_agent *a = p;
+
+	free(a->name);
+	free(a->addr);
+	free(a->report.worker);
+	free(a->report.rack);
+	free(a->report.zone);
+	free(a);
+}
+
+/* Find an agent by its connection. */
+struct coord_agent *agent_by_peer(struct coord *c, peer_id peer)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_agent *a = value;
+
+		if (a->peer == peer && peer != PEER_NONE)
+			return a;
+	}
+	return NULL;
+}
+
+/* Find an agent by its worker in the core. */
+struct coord_agent *agent_by_worker(struct coord *c, uint32_t worker)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_agent *a = value;
+
+		if (a->has_worker && a->worker == worker && !a->dead)
+			return a;
+	}
+	return NULL;
+}
+
+/* Whether an agent is connected, has told its inventory and did not restart since. */
+bool agent_same(struct coord *c, const char *name, uint64_t incarnation)
+{
+	const struct coord_agent *a = g_hash_table_lookup(c->agents, name);
+
+	return a != NULL && a->inventory && !a->dead && a->incarnation == incarnation;
+}
+
+/* A dead or restarted agent: what it may have started is lost. */
+static void bury(struct coord *c, int64_t now, struct coord_agent *a)
+{
+	if (a->has_worker)
+		sched_worker_down(c->sched, now, a->worker);
+	run_member_gone(c, now, a, false);
+}
+
+/* Welcome an agent; it answers with its report and inventory. */
+static void send_welcome(struct coord *c, const struct coord_agent *a)
+{
+	struct msg m = {.kind = MSG_WELCOME,
+		.welcome = {.term = c->term,
+			.cell = c->cell,
+			.beat_ms = COORD_BEAT_MS,
+			.lease_ms = COORD_LEASE_MS,
+			.config_revision = c->config_number,
+			.grace_ms = (uint32_t)(c->grace / NSEC_PER_MSEC)}};
+
+	coord_send(c, a->peer, &m);
+}
+
+/* An agent introduced itself. */
+void agent_hello(struct coord *c, int64_t now, peer_id peer, const struct msg_hello *h)
+{
+	struct coord_agent *a;
+
+	if (h->name == NULL || h->addr == NULL)
+		return;
+	a = g_hash_table_lookup(c->agents, h->name);
+	if (a == NULL) {
+		a = xcalloc(1, sizeof(*a));
+		a->name = xstrdup(h->name);
+		g_hash_table_insert(c->agents, a->name, a);
+	} else if (a->incarnation != h->incarnation) {
+		log_info("coord", "Agent %s restarted.", a->name);
+		bury(c, now, a);
+		a->has_worker = false;
+	}
+	if (a->peer != PEER_NONE && a->peer != peer)
+		c->ports.close(c->ports.arg, a->peer);
+	a->peer = peer;
+	a->incarnation = h->incarnation;
+	free(a->addr);
+	a->addr = xstrdup(h->addr);
+	a->dead = false;
+	a->inventory = false;
+	a->reported = false;
+	a->last_seen = now;
+	send_welcome(c, a);
+}
+
+/* Enter or update the worker that an agent reports. */
+static void enter_worker(struct coord *c, int64_t now, struct coord_agent *a)
+{
+	const struct msg_report *r = &a->report;
+	struct sched_worker_spec spec = {
+		.name = r->worker,
+		.rack = r->rack,
+		.capacity = {.accelerators = (int32_t)r->accelerators,
+			.slots = (int32_t)MIN(r->slots, r->connections),
+			.cores = (int32_t)r->cores,
+			.memory_mb = r->memory_mb},
+	};
+	const uint64_t *saved = g_hash_table_lookup(c->saved_roster, a->name);
+
+	a->worker = sched_worker_up(c->sched, now, &spec);
+	a->has_worker = true;
+	sched_worker_restrict(c->sched, a->worker, saved == NULL || *saved != a->incarnation);
+	if (!a->serving)
+		sched_worker_drain(c->sched, a->worker, true);
+}
+
+/* Another agent that speaks for the same worker; NULL for none. */
+static struct coord_agent *other_agent(struct coord *c, const struct coord_agent *a)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_agent *o = value;
+
+		if (o != a && !o->dead && o->reported &&
+			g_strcmp0(o->report.worker, a->report.worker) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+/* An agent reports what its upstream offers. */
+static void on_report(struct coord *c, int64_t now, struct coord_agent *a, const struct msg *m)
+{
+	struct coord_agent *other;
+
+	if (m->report.worker == NULL || m->report.rack == NULL)
+		return;
+	fields_clear(report_fields(), &a->report);
+	fields_copy(report_fields(), &a->report, &m->report);
+	a->reported = true;
+	a->serving = m->report.serving && !m->report.draining;
+	other = other_agent(c, a);
+	if (other != NULL && other->peer != PEER_NONE) {
+		log_warning("coord",
+			"Agents %s and %s both speak for worker %s; the second waits.",
+			other->name, a->name, a->report.worker);
+		a->reported = false;
+		return;
+	}
+	if (other != NULL) {
+		log_info("coord", "Worker %s came back with agent %s.", a->report.worker,
+			a->name);
+		bury(c, now, other);
+		other->dead = true;
+		other->has_worker = false;
+	}
+	if (a->inventory)
+		enter_worker(c, now, a);
+}
+
+/* An agent's ground truth, after it adopted our term. */
+static void on_inventory(
+	struct coord *c, int64_t now, struct coord_agent *a, const struct msg_inventory *inv)
+{
+	if (inv->term != c->term)
+		return;
+	a->inventory = true;
+	if (a->reported)
+		enter_worker(c, now, a);
+	settle_found(c, a, inv);
+	run_member_gone(c, now, a, true);
+	settle_sweep(c, now);
+}
+
+/* A sign of life. */
+static void on_beat(struct coord *c, struct coord_agent *a, const struct msg_beat *b)
+{
+	struct msg m = {.kind = MSG_BEAT_ACK,
+		.beat_ack = {.term = c->term,
+			.config_revision = c->config_number,
+			.grace_ms = (uint32_t)(c->grace / NSEC_PER_MSEC)}};
+
+	a->busy = b->busy_accelerators;
+	a->usage_percent = b->usage_percent;
+	a->config_revision = b->config_revision;
+	coord_send(c, a->peer, &m);
+}
+
+/* A message of an agent. */
+void agent_message(struct coord *c, int64_t now, struct coord_agent *a, const struct msg *m)
+{
+	if (now - a->last_seen > COORD_SUSPECT && a->has_worker && a->serving)
+		sched_worker_drain(c->sched, a->worker, false);
+	a->last_seen = now;
+	switch (m->kind) {
+	case MSG_REPORT:
+		on_report(c, now, a, m);
+		break;
+	case MSG_INVENTORY:
+		on_inventory(c, now, a, &m->inventory);
+		break;
+	case MSG_BEAT:
+		on_beat(c, a, &m->beat);
+		break;
+	case MSG_RESERVED:
+		run_reserved(c, now, a, &m->reserved);
+		break;
+	case MSG_ENDED:
+		run_ended(c, now, a, &m->ended);
+		break;
+	default:
+		break;
+	}
+}
+
+/* An agent's connection is gone: no new work, until it returns or is declared dead. */
+void agent_lost(struct coord *c, int64_t now, struct coord_agent *a)
+{
+	(void)now;
+	a->peer = PEER_NONE;
+	if (a->has_worker)
+		sched_worker_drain(c->sched, a->worker, true);
+	log_info("coord", "The connection to agent %s is gone.", a->name);
+}
+
+/* Suspect the silent, and declare dead those that stay silent. */
+void agent_sweep(struct coord *c, int64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_agent *a = value;
+		int64_t silent = now - a->last_seen;
+
+		if (a->dead || silent < COORD_SUSPECT)
+			continue;
+		if (a->has_worker && silent < COORD_DEAD_AFTER) {
+			sched_worker_drain(c->sched, a->worker, true);
+			continue;
+		}
+		if (silent < COORD_DEAD_AFTER)
+			continue;
+		log_warning("coord", "Agent %s is dead.", a->name);
+		counter_add(&agents_lost, 1);
+		a->dead = true;
+		if (a->peer != PEER_NONE)
+			c->ports.close(c->ports.arg, a->peer);
+		a->peer = PEER_NONE;
+		bury(c, now, a);
+	}
+}
+
+static const struct field report_list[] = {
+	{.kind = FIELD_TEXT, .offset = offsetof(struct msg_report, worker)},
+	{.kind = FIELD_TEXT, .offset = offsetof(struct msg_report, rack)},
+	{.kind = FIELD_TEXT, .offset = offsetof(struct msg_report, zone)},
+};
+
+/* The owned fields of a report, for copying. */
+static const struct field_table *report_fields(void)
+{
+	static const struct field_table t = {.name = "report",
+		.size = sizeof(struct msg_report),
+		.fields = report_list,
+		.count = ARRAY_LEN(report_list)};
+
+	return &t;
+}
--- /dev/null
+++ b/packages/coordination/coord.c
@@ -0,0 +1,322 @@
+#include "coord-private.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SUMMARY_PERIOD NSEC_PER_SEC
+
+GAUGE(term_gauge, "damaskpath_coordinator_term", "Term of this process as coordinator, or 0.");
+GAUGE(queued_gauge, "damaskpath_jobs_queued", "Jobs waiting in this cell.");
+GAUGE(running_gauge, "damaskpath_jobs_placed", "Jobs placed in this cell.");
+
+/* A coordinator that has no term yet. */
+struct coord *coord_new(const char *cell, const struct coord_ports *ports)
+{
+	struct coord *c = xcalloc(1, sizeof(*c));
+
+	c->cell = xstrdup(cell);
+	c->ports = *ports;
+	c->sched = sched_new(SCHED_POLICY_FULL, random_u64());
+	c->agents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, agent_record_free);
+	c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_record_drop);
+	c->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal, free, NULL);
+	c->old_roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	c->saved_roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	c->found = g_ptr_array_new();
+	c->grace = 5 * NSEC_PER_SEC;
+	c->store_up = true;
+	TAILQ_INIT(&c->ended);
+	g_queue_init(&c->audit);
+	return c;
+}
+
+/* Free a member that was found. */
+static void found_free(struct coord_found *f)
+{
+	fields_clear(&member_record_fields, &f->record);
+	free(f);
+}
+
+/* Free a coordinator. */
+void coord_free(struct coord *c)
+{
+	char *line;
+
+	if (c == NULL)
+		return;
+	counter_set(&term_gauge, 0);
+	for (guint i = 0; i < c->found->len; i++)
+		found_free(c->found->pdata[i]);
+	g_ptr_array_unref(c->found);
+	g_hash_table_destroy(c->jobs);
+	g_hash_table_destroy(c->agents);
+	g_hash_table_destroy(c->entries);
+	g_hash_table_destroy(c->old_roster);
+	g_hash_table_destroy(c->saved_roster);
+	sched_free(c->sched);
+	while ((line = g_queue_pop_head(&c->audit)) != NULL)
+		free(line);
+	free(c->last_saved);
+	free(c->cell);
+	free(c);
+}
+
+/* Parse "NAME/INCARNATION,..." into a table. */
+static void parse_roster(GHashTable *table, const char *text)
+{
+	g_auto(GStrv) parts = g_strsplit(text != NULL ? text : "", ",", -1);
+
+	for (size_t i = 0; parts[i] != NULL; i++) {
+		char *slash = strrchr(parts[i], '/');
+		uint64_t *incarnation;
+
+		if (slash == NULL)
+			continue;
+		incarnation = xmalloc(sizeof(*incarnation));
+		*incarnation = strtoull(slash + 1, NULL, 16);
+		g_hash_table_replace(
+			table, g_strndup(parts[i], (gsize)(slash - parts[i])), incarnation);
+	}
+}
+
+/* The term has been won: start to settle. */
+void coord_begin(struct coord *c, int64_t now, int64_t wall, uint64_t term, const char *roster,
+	GPtrArray *records, const struct doc *doc)
+{
+	c->term = term;
+	c->began = now;
+	c->wall = wall;
+	c->now_at_wall = now;
+	counter_set(&term_gauge, term);
+	parse_roster(c->old_roster, roster);
+	sched_set_settling(c->sched, true);
+	if (doc != NULL)
+		coord_set_doc(c, now, doc);
+	settle_load(c, now, records);
+	log_info("coord", "The term is ours; %u agents are expected. cell=%s term=%" PRIu64,
+		g_hash_table_size(c->old_roster), c->cell, term);
+}
+
+/* The coordinator's term. */
+uint64_t coord_term(const struct coord *c)
+{
+	return c->term;
+}
+
+/* The core, for tests. */
+struct sched *coord_sched(struct coord *c)
+{
+	return c->sched;
+}
+
+/* Whether jobs are placed. */
+bool coord_settled(const struct coord *c)
+{
+	return c->settled;
+}
+
+/* Wall time of a monotonic one. */
+int64_t coord_wall(const struct coord *c, int64_t now)
+{
+	return c->wall + now - c->now_at_wall;
+}
+
+/* Send a message; false where the peer is gone. */
+bool coord_send(struct coord *c, peer_id peer, const struct msg *m)
+{
+	return peer != PEER_NONE && c->ports.send(c->ports.arg, peer, m);
+}
+
+/* Add a line to the trail of job changes, within bounds. */
+void coord_audit(struct coord *c, int64_t now, const char *what, const char *who,
+	const char *job, const char *detail)
+{
+	AUTOFREE char *when = clock_format_wall(coord_wall(c, now));
+	json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:I}", "what", what, "when", when,
+		"who", who, "job", job, "detail", detail, "cell", c->cell, "term",
+		(json_int_t)c->term);
+
+	g_queue_push_tail(&c->audit, json_dumps(o, JSON_COMPACT));
+	json_decref(o);
+	if (c->audit.length > COORD_AUDIT_KEPT)
+		free(g_queue_pop_head(&c->audit));
+}
+
+/* Adopt a document; an older one is passed over. */
+void coord_set_doc(struct coord *c, int64_t now, const struct doc *doc)
+{
+	if (doc->number < c->config_number)
+		return;
+	c->config_number = doc->number;
+	c->grace = doc->grace;
+	sched_set_doc(c->sched, now, doc, c->cell);
+	if (c->settled)
+		coord_run(c, now);
+}
+
+/* Welcome an entry. */
+static void entry_hello(struct coord *c, peer_id peer)
+{
+	struct msg m = {.kind = MSG_WELCOME,
+		.welcome = {.term = c->term,
+			.cell = c->cell,
+			.beat_ms = COORD_BEAT_MS,
+			.lease_ms = COORD_LEASE_MS,
+			.config_revision = c->config_number}};
+
+	g_hash_table_add(c->entries, g_memdup2(&peer, sizeof(peer)));
+	coord_send(c, peer, &m);
+}
+
+/* A peer introduced itself. */
+void coord_hello(struct coord *c, int64_t now, peer_id peer, const struct msg_hello *h)
+{
+	if (h->role == ROLE_AGENT)
+		agent_hello(c, now, peer, h);
+	else
+		entry_hello(c, peer);
+}
+
+/* A message of an agent or an entry. */
+void coord_message(struct coord *c, int64_t now, peer_id peer, const struct msg *m)
+{
+	struct coord_agent *a = agent_by_peer(c, peer);
+
+	if (a != NULL)
+		agent_message(c, now, a, m);
+	else if (m->kind == MSG_SUBMIT)
+		job_submit(c, now, peer, &m->submit);
+	else if (m->kind == MSG_CANCEL)
+		job_cancel(c, now, peer, &m->cancel);
+	else if (m->kind == MSG_QUERY)
+		query_answer(c, now, peer, &m->query);
+	else
+		log_debug("coord", "A %s from a peer without a role was passed over.",
+			msg_name(m->kind));
+	run_actions(c, now);
+}
+
+/* A connection is gone. */
+void coord_closed(struct coord *c, int64_t now, peer_id peer)
+{
+	struct coord_agent *a = agent_by_peer(c, peer);
+
+	if (a != NULL)
+		agent_lost(c, now, a);
+	else
+		g_hash_table_remove(c->entries, &peer);
+}
+
+/* Tell the entries what the cell looks like. */
+static void send_summary(struct coord *c, int64_t now)
+{
+	struct sched_free_view v;
+	struct msg m = {.kind = MSG_SUMMARY};
+	GHashTableIter it;
+	gpointer key;
+
+	sched_free_view(c->sched, now, &v);
+	m.summary = (struct msg_summary){
+		.term = c->term,
+		.cell = c->cell,
+		.workers = v.workers,
+		.free_accelerators = v.free,
+		.largest_worker = v.largest_worker,
+		.largest_rack = v.largest_rack,
+		.queued = (uint32_t)sched_queued(c->sched),
+		.running = (uint32_t)sched_running(c->sched),
+		.oldest_ms = (uint32_t)(v.oldest / NSEC_PER_MSEC),
+		.config_revision = c->config_number,
+	};
+	g_hash_table_iter_init(&it, c->entries);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		coord_send(c, *(peer_id *)key, &m);
+	counter_set(&queued_gauge, sched_queued(c->sched));
+	counter_set(&running_gauge, sched_running(c->sched));
+	c->last_summary = now;
+}
+
+/* Decide and act. */
+void coord_run(struct coord *c, int64_t now)
+{
+	sched_run(c->sched, now);
+	run_actions(c, now);
+}
+
+/* Enforce times and decide; call about ten times a second. */
+void coord_tick(struct coord *c, int64_t now, int64_t wall)
+{
+	c->wall = wall;
+	c->now_at_wall = now;
+	settle_sweep(c, now);
+	agent_sweep(c, now);
+	run_sweep(c, now);
+	job_expire(c, now);
+	coord_run(c, now);
+	if (now - c->last_summary >= SUMMARY_PERIOD)
+		send_summary(c, now);
+}
+
+static int compare_names(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* The names and incarnations of all agents that are not dead. */
+char *coord_roster(const struct coord *c)
+{
+	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer value;
+	char *text;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct coord_agent *a = value;
+
+		if (!a->dead)
+			g_ptr_array_add(
+				names, g_strdup_printf("%s/%" PRIx64, a->name, a->incarnation));
+	}
+	g_ptr_array_sort(names, compare_names);
+	g_ptr_array_add(names, NULL);
+	text = g_strjoinv(",", (char **)names->pdata);
+	return text;
+}
+
+/* Whether the saved roster is out of date. */
+bool coord_roster_changed(const struct coord *c)
+{
+	g_autofree char *now = coord_roster(c);
+
+	return c->settled && g_strcmp0(now, c->last_saved) != 0;
+}
+
+/* The roster has been saved: its workers may get any job. */
+void coord_roster_saved(struct coord *c, const char *roster)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	free(c->last_saved);
+	c->last_saved = xstrdup(roster);
+	g_hash_table_remove_all(c->saved_roster);
+	parse_roster(c->saved_roster, roster);
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_agent *a = value;
+		const uint64_t *saved = g_hash_table_lookup(c->saved_roster, a->name);
+
+		if (a->has_worker)
+			sched_worker_restrict(
+				c->sched, a->worker, saved == NULL || *saved != a->incarnation);
+	}
+}
+
+/* Whether the store can be reached; jobs that wait for a record to be written are told. */
+void coord_store_state(struct coord *c, int64_t now, bool up)
+{
+	(void)now;
+	c->store_up = up;
+}
--- /dev/null
+++ b/packages/coordination/coord.h
@@ -0,0 +1,53 @@
+#ifndef DP_COORD_H
+#define DP_COORD_H
+
+#include "sched.h"
+
+/*
+ * The coordinator of one cell: turns the decisions of the core into messages to the agents,
+ * keeps what callers wait for, and rebuilds both from the agents and the store at takeover.
+ * It does no input or output of its own: messages go through the ports, records for the store
+ * are taken by the owner.
+ */
+
+struct coord_ports {
+	bool (*send)(void *arg, peer_id peer, const struct msg *m);
+	void (*close)(void *arg, peer_id peer);
+	void *arg;
+};
+
+struct coord;
+struct coord *coord_new(const char *cell, const struct coord_ports *ports);
+void coord_free(struct coord *c);
+void coord_begin(struct coord *c, int64_t now, int64_t wall, uint64_t term, const char *roster,
+	GPtrArray *records, const struct doc *doc);
+uint64_t coord_term(const struct coord *c);
+void coord_set_doc(struct coord *c, int64_t now, const struct doc *doc);
+void coord_hello(struct coord *c, int64_t now, peer_id peer, const struct msg_hello *h);
+void coord_message(struct coord *c, int64_t now, peer_id peer, const struct msg *m);
+void coord_closed(struct coord *c, int64_t now, peer_id peer);
+void coord_tick(struct coord *c, int64_t now, int64_t wall);
+void coord_run(struct coord *c, int64_t now);
+
+/* Job records that wait to be written; the owner writes them and reports. */
+struct coord_batch {
+	struct job_write *writes;
+	char **ids;
+	uint64_t *versions;
+	size_t len;
+};
+bool coord_take_batch(struct coord *c, struct coord_batch *out);
+void coord_batch_done(struct coord *c, int64_t now, const struct coord_batch *b, bool written);
+void coord_batch_clear(struct coord_batch *b);
+
+/* The roster that has to be saved before its workers get jobs that must not run twice. */
+char *coord_roster(const struct coord *c);
+bool coord_roster_changed(const struct coord *c);
+void coord_roster_saved(struct coord *c, const char *roster);
+void coord_store_state(struct coord *c, int64_t now, bool up);
+
+/* For tests and the node's own counters. */
+struct sched *coord_sched(struct coord *c);
+bool coord_settled(const struct coord *c);
+
+#endif
--- /dev/null
+++ b/packages/coordination/sched-check.c
@@ -0,0 +1,130 @@
+#include "sched-private.h"
+
+#include <string.h>
+
+/* What the jobs on a worker add up to. */
+struct sums {
+	struct sched_res used;
+	struct sched_res pending;
+	struct sched_res firm;
+	uint32_t jobs;
+};
+
+/* Add up the jobs on each worker. */
+static struct sums *sum_jobs(const struct sched *s)
+{
+	struct sums *sums = xcalloc(s->workers->len, sizeof(*sums));
+
+	for (guint i = 0; i < s->active->len; i++) {
+		const struct sched_job *j = s->active->pdata[i];
+
+		for (uint32_t m = 0; m < j->members_len; m++) {
+			const struct sched_member *mb = &j->members[m];
+			struct sums *at = &sums[mb->worker];
+
+			at->jobs++;
+			res_add(j->state == SCHED_JOB_CLAIMING ? &at->pending : &at->used,
+				&mb->need);
+			if (j->charged || !job_stoppable(j))
+				res_add(&at->firm, &mb->need);
+		}
+	}
+	return sums;
+}
+
+/* One worker's books agree with its jobs, and nothing is given out twice. */
+static char *check_worker(const struct sched *s, uint32_t at, const struct sums *sum)
+{
+	const struct sched_worker *w = sched_worker_at(s, at);
+	struct sched_res share = res_share(&w->capacity, w->held);
+	struct sched_res firm = w->firm;
+	uint32_t held = 0;
+	char *out = NULL;
+
+	for (uint32_t o = 0; o < s->orgs->len; o++) {
+		if (*org_charged(s, o, at) > *org_held(s, o, at)) {
+			xasprintf(&out, "worker %s: %s is charged more than it holds", w->name,
+				sched_org_at(s, o)->name);
+			return out;
+		}
+		held += org_left(s, o, at);
+	}
+	if (memcmp(&sum->used, &w->used, sizeof(w->used)) != 0 ||
+		memcmp(&sum->pending, &w->pending, sizeof(w->pending)) != 0 ||
+		memcmp(&sum->firm, &w->firm, sizeof(w->firm)) != 0 || sum->jobs != w->jobs ||
+		held != w->held)
+		xasprintf(&out, "worker %s: the books do not agree with the jobs", w->name);
+	else if (w->up && !res_fits(&w->used, &w->capacity))
+		xasprintf(&out, "worker %s: more is used than there is", w->name);
+	res_add(&firm, &share);
+	if (out == NULL && w->up && !res_fits(&firm, &w->capacity))
+		xasprintf(&out,
+			"worker %s: unused guarantees cannot be met (firm %d, held %u of %d)",
+			w->name, w->firm.accelerators, w->held, w->capacity.accelerators);
+	return out;
+}
+
+/* A job's members add up and are close enough together. */
+static char *check_job(const struct sched *s, const struct sched_job *j)
+{
+	uint32_t sum = 0;
+	char *out = NULL;
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		sum += j->members[i].accelerators;
+		if ((j->adjacency == ADJACENCY_WORKER && i > 0) ||
+			(j->adjacency == ADJACENCY_RACK &&
+				sched_worker_at(s, j->members[i].worker)->rack !=
+					sched_worker_at(s, j->members[0].worker)->rack))
+			xasprintf(&out, "job %s: its members are too far apart", j->id);
+		if (out != NULL)
+			return out;
+	}
+	if ((sum != j->accelerators && !j->partial) || j->members_len == 0)
+		xasprintf(&out, "job %s: %u of %u accelerators", j->id, sum, j->accelerators);
+	return out;
+}
+
+/* A hold's pieces add up and are close enough together. */
+static char *check_hold(const struct sched *s, const struct sched_hold *h)
+{
+	uint32_t sum = 0;
+	uint32_t rack = 0;
+	bool apart = false;
+	char *out = NULL;
+
+	for (guint i = 0; h->placed && i < h->pieces->len; i++) {
+		const struct pack_piece *p = &g_array_index(h->pieces, struct pack_piece, i);
+		const struct pack_piece *first =
+			&g_array_index(h->pieces, struct pack_piece, 0);
+
+		sum += p->accelerators;
+		if (i == 0)
+			rack = sched_worker_at(s, p->worker)->rack;
+		apart = apart ||
+			(h->adjacency == ADJACENCY_WORKER && p->worker != first->worker) ||
+			(h->adjacency == ADJACENCY_RACK &&
+				sched_worker_at(s, p->worker)->rack != rack) ||
+			!sched_worker_at(s, p->worker)->up;
+	}
+	if (h->placed && (sum != h->accelerators || apart))
+		xasprintf(&out, "a hold of %s is not what it promises",
+			sched_org_at(s, h->org)->name);
+	return out;
+}
+
+/* Check the whole state against its invariants. */
+char *sched_check(const struct sched *s)
+{
+	struct sums *sums = sum_jobs(s);
+	char *out = NULL;
+
+	for (uint32_t i = 0; out == NULL && i < s->workers->len; i++)
+		out = check_worker(s, i, &sums[i]);
+	for (guint i = 0; out == NULL && i < s->active->len; i++)
+		out = check_job(s, s->active->pdata[i]);
+	for (guint i = 0; out == NULL && i < s->holds->len; i++)
+		out = check_hold(s, s->holds->pdata[i]);
+	xfreep(&sums);
+	return out;
+}
--- /dev/null
+++ b/packages/coordination/sched-claim.c
@@ -0,0 +1,324 @@
+#include "sched-private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * An organisation claims its guarantee: the job takes the place at once (its firm use is
+ * entered, so nobody else can), the borrowers there are told to stop, and the job begins when
+ * they are gone. The wait is bounded by the grace time of a stop.
+ */
+
+#define RESTART_COST (10 * NSEC_PER_SEC)
+
+struct victim {
+	struct sched_job *job;
+	double cost;
+	struct sched_res here;
+};
+
+/* What a job uses on a worker. */
+static struct sched_res used_on(const struct sched_job *j, uint32_t worker)
+{
+	struct sched_res sum = {0};
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		if (j->members[i].worker == worker)
+			res_add(&sum, &j->members[i].need);
+	}
+	return sum;
+}
+
+/* Work that stopping a job loses, in accelerator-seconds. */
+static double work_lost(const struct sched_job *j, int64_t now)
+{
+	int64_t ran = j->started_at > 0 ? now - j->started_at : 0;
+	int64_t lost = j->checkpoint ? RESTART_COST : ran + RESTART_COST;
+
+	return (double)lost / (double)NSEC_PER_SEC * MAX(j->accelerators, 1);
+}
+
+static int compare_victims(const void *a, const void *b)
+{
+	const struct victim *x = a;
+	const struct victim *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return x->job->sequence < y->job->sequence ? 1 : -1;
+}
+
+/* Whether a job on a worker may be taken as a victim, or is going already. */
+static bool is_borrower(const struct sched_job *j)
+{
+	return !j->charged && job_stoppable(j) &&
+	       (j->state == SCHED_JOB_RUNNING || j->state == SCHED_JOB_PLACING ||
+		       j->state == SCHED_JOB_STOPPING);
+}
+
+/* Borrowers of a worker, cheapest per freed accelerator first. */
+static GArray *list_victims(const struct sched *s, int64_t now, uint32_t worker)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct victim));
+
+	for (guint i = 0; i < s->active->len; i++) {
+		struct sched_job *j = s->active->pdata[i];
+		struct victim v = {.job = j};
+
+		if (!is_borrower(j))
+			continue;
+		v.here = used_on(j, worker);
+		if (v.here.slots == 0)
+			continue;
+		v.cost = work_lost(j, now) / MAX(v.here.accelerators, 1);
+		if (j->state == SCHED_JOB_STOPPING)
+			v.cost = -1;
+		g_array_append_val(list, v);
+	}
+	g_array_sort(list, compare_victims);
+	return list;
+}
+
+/* Whether a set has a job. */
+static bool has_job(const GPtrArray *set, const struct sched_job *j)
+{
+	for (guint i = 0; i < set->len; i++) {
+		if (set->pdata[i] == j)
+			return true;
+	}
+	return false;
+}
+
+/* Choose victims so that need fits on a worker; false where that cannot be. */
+static bool choose_victims(const struct sched *s, int64_t now, uint32_t worker,
+	const struct sched_res *need, GPtrArray *victims, double *cost)
+{
+	struct sched_res room = worker_free(sched_worker_at(s, worker));
+	GArray *list = list_victims(s, now, worker);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct victim *v = &g_array_index(list, struct victim, i);
+
+		if (has_job(victims, v->job))
+			res_add(&room, &v->here);
+	}
+	for (guint i = 0; i < list->len && !res_fits(need, &room); i++) {
+		const struct victim *v = &g_array_index(list, struct victim, i);
+
+		if (has_job(victims, v->job))
+			continue;
+		res_add(&room, &v->here);
+		g_ptr_array_add(victims, v->job);
+		if (v->job->state != SCHED_JOB_STOPPING)
+			*cost += work_lost(v->job, now);
+	}
+	g_array_unref(list);
+	return res_fits(need, &room);
+}
+
+/* A place for a claim with what it costs to clear it. */
+struct claim {
+	struct fit fit;
+	GPtrArray *victims;
+	double cost;
+};
+
+/* Take n accelerators on a worker into a claim. */
+static bool claim_part(const struct sched *s, int64_t now, const struct sched_job *j,
+	struct claim *c, uint32_t worker, uint32_t n)
+{
+	struct sched_member *m;
+
+	if (c->fit.len == SCHED_MEMBERS_MAX)
+		return false;
+	m = &c->fit.members[c->fit.len++];
+	memset(m, 0, sizeof(*m));
+	m->worker = worker;
+	m->accelerators = n;
+	m->need = res_need(j, n);
+	return choose_victims(s, now, worker, &m->need, c->victims, &c->cost);
+}
+
+/* Room within the guarantee on the workers of a rack, -1 for all. */
+static uint32_t claim_room(
+	const struct sched *s, int64_t now, const struct sched_job *j, uint32_t w, int rack)
+{
+	const struct sched_worker *at = sched_worker_at(s, w);
+
+	if (!at->up || at->draining || (rack >= 0 && at->rack != (uint32_t)rack) ||
+		!health_allows(at, j, now))
+		return 0;
+	return fit_room(s, j, w, FIT_CHARGED);
+}
+
+/* Try to place a claim over the workers of a rack: most room first, the last part tightly. */
+static bool claim_spread(const struct sched *s, int64_t now, const struct sched_job *j,
+	int rack, struct claim *c)
+{
+	uint8_t *taken = xcalloc(s->workers->len, 1);
+	uint32_t n = j->accelerators;
+	bool ok = true;
+
+	while (ok && n > 0) {
+		uint32_t best_room = 0;
+		int best = -1;
+
+		for (uint32_t w = 0; w < s->workers->len; w++) {
+			uint32_t room = taken[w] ? 0 : claim_room(s, now, j, w, rack);
+			bool better =
+				best < 0 || (best_room < n ? room > best_room
+							   : room >= n && room < best_room);
+
+			if (room > 0 && better) {
+				best = (int)w;
+				best_room = room;
+			}
+		}
+		if (best < 0) {
+			ok = false;
+			break;
+		}
+		taken[best] = 1;
+		ok = claim_part(s, now, j, c, (uint32_t)best, MIN(n, best_room));
+		n -= MIN(n, best_room);
+	}
+	free(taken);
+	return ok;
+}
+
+/* Keep the cheaper of two claims in best. */
+static void keep_cheaper(struct claim *best, bool *have, struct claim *c, bool ok)
+{
+	if (ok && (!*have || c->cost < best->cost)) {
+		GPtrArray *old = best->victims;
+
+		*best = *c;
+		c->victims = old;
+		*have = true;
+	}
+	g_ptr_array_set_size(c->victims, 0);
+	c->cost = 0;
+	c->fit.len = 0;
+}
+
+/* Find the cheapest place within the guarantee. */
+static bool find_claim(
+	struct sched *s, int64_t now, const struct sched_job *j, struct claim *best)
+{
+	struct claim c = {.victims = g_ptr_array_new()};
+	bool have = false;
+
+	for (uint32_t w = 0; w < s->workers->len; w++) {
+		if (claim_room(s, now, j, w, -1) < j->accelerators)
+			continue;
+		keep_cheaper(best, &have, &c, claim_part(s, now, j, &c, w, j->accelerators));
+	}
+	for (uint32_t r = 0; !have && j->adjacency != ADJACENCY_WORKER && r < s->racks->len;
+		r++)
+		keep_cheaper(best, &have, &c, claim_spread(s, now, j, (int)r, &c));
+	if (!have && j->adjacency == ADJACENCY_ANY)
+		keep_cheaper(best, &have, &c, claim_spread(s, now, j, -1, &c));
+	g_ptr_array_unref(c.victims);
+	return have;
+}
+
+/* Start a job inside its guarantee where all is free. */
+static bool start_free(struct sched *s, int64_t now, struct sched_job *j)
+{
+	struct fit f;
+
+	if (!fit_job(s, now, j, FIT_CHARGED_FREE, &f) &&
+		!(plan_move_to_free(s, j) && fit_job(s, now, j, FIT_CHARGED_FREE, &f)))
+		return false;
+	j->decision = (struct sched_decision){
+		.why = SCHED_WHY_GUARANTEE, .at = now, .considered = f.considered};
+	sched_take(s, j, &f, true, false);
+	sched_begin(s, now, j);
+	return true;
+}
+
+/* Start a job outside its guarantee where that costs nobody anything. */
+static bool start_beside(struct sched *s, int64_t now, struct sched_job *j)
+{
+	struct fit f;
+
+	if (!fit_job(s, now, j, job_stoppable(j) ? FIT_BORROWED : FIT_FIRM, &f))
+		return false;
+	j->decision = (struct sched_decision){
+		.why = SCHED_WHY_FREE, .at = now, .considered = f.considered};
+	sched_take(s, j, &f, false, false);
+	sched_begin(s, now, j);
+	return true;
+}
+
+/*
+ * Start a job by its organisation's guarantee: on free capacity if there is any, else by
+ * stopping borrowers. False where the guarantee has no room for it.
+ */
+bool claim_start(struct sched *s, int64_t now, struct sched_job *j)
+{
+	struct claim c = {.victims = NULL};
+	bool found;
+
+	if (start_free(s, now, j))
+		return true;
+	c.victims = g_ptr_array_new();
+	found = find_claim(s, now, j, &c);
+	if (found && start_beside(s, now, j)) {
+		g_ptr_array_unref(c.victims);
+		return true;
+	}
+	if (found) {
+		j->decision = (struct sched_decision){.why = SCHED_WHY_CLAIM,
+			.at = now,
+			.victims = c.victims->len,
+			.expected = now + s->grace};
+		sched_take(s, j, &c.fit, true, true);
+		queue_remove(s, j);
+		j->state = SCHED_JOB_CLAIMING;
+		j->claim_at = now;
+		s->counts.claims++;
+		for (guint i = 0; i < c.victims->len; i++) {
+			struct sched_job *v = c.victims->pdata[i];
+
+			if (v->state != SCHED_JOB_STOPPING)
+				sched_order_stop(s, v,
+					v->checkpoint ? STOP_CHECKPOINT : STOP_NOW,
+					SCHED_STOP_PREEMPTED);
+		}
+	}
+	g_ptr_array_unref(c.victims);
+	return found;
+}
+
+/* Whether all that a claim needs is free. */
+static bool is_cleared(const struct sched *s, const struct sched_job *j)
+{
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		const struct sched_worker *w = sched_worker_at(s, j->members[i].worker);
+		struct sched_res room = w->capacity;
+
+		res_sub(&room, &w->used);
+		if (!w->up || !res_fits(&j->members[i].need, &room))
+			return false;
+	}
+	return true;
+}
+
+/* Begin the claims whose place has become free. */
+void claim_finish(struct sched *s, int64_t now)
+{
+	for (guint i = 0; i < s->active->len; i++) {
+		struct sched_job *j = s->active->pdata[i];
+
+		if (j->state != SCHED_JOB_CLAIMING || !is_cleared(s, j))
+			continue;
+		for (uint32_t m = 0; m < j->members_len; m++) {
+			struct sched_worker *w = sched_worker_at(s, j->members[m].worker);
+
+			res_sub(&w->pending, &j->members[m].need);
+			res_add(&w->used, &j->members[m].need);
+		}
+		sched_begin(s, now, j);
+	}
+}
--- /dev/null
+++ b/packages/coordination/sched-view.c
@@ -0,0 +1,205 @@
+#include "sched-private.h"
+
+#include <string.h>
+
+static const char *const state_names[] = {
+	"queued", "claiming", "placing", "running", "stopping", "ended"};
+
+/* What each reason means, and what would help. */
+static const struct why_text {
+	const char *name;
+	const char *text;
+	const char *unblock;
+} why_texts[] = {
+	[SCHED_WHY_NEW] = {"new", "it has just come and is looked at in the next pass", ""},
+	[SCHED_WHY_GUARANTEE] = {"guarantee",
+		"it was placed inside its organisation's guarantee on free accelerators", ""},
+	[SCHED_WHY_CLAIM] = {"claim",
+		"it claimed its organisation's guarantee; borrowers there were told to stop",
+		"the borrowers are gone within the grace time"},
+	[SCHED_WHY_FREE] = {"free", "it was placed on free accelerators in its turn", ""},
+	[SCHED_WHY_BACKFILL] = {"backfill",
+		"it was placed ahead of a larger job that it does not delay", ""},
+	[SCHED_WHY_BLOCKED] = {"blocked",
+		"no place has enough free accelerators close enough together",
+		"a running job has to end, or a wider adjacency be accepted"},
+	[SCHED_WHY_BEHIND] = {"behind", "a job of the same shape is ahead and does not fit yet",
+		"the job ahead has to start"},
+	[SCHED_WHY_QUOTA] = {"quota", "its organisation uses all of its quota",
+		"another job of the organisation has to end, or the quota be raised"},
+	[SCHED_WHY_BACKOFF] = {"backoff", "an attempt failed and the next one is being delayed",
+		"the delay has to pass"},
+	[SCHED_WHY_UNSTOPPABLE] = {"unstoppable",
+		"it cannot be stopped, so it may not borrow what is guaranteed to others",
+		"capacity that nobody is guaranteed has to be free, or the job be made "
+		"idempotent or able to checkpoint"},
+	[SCHED_WHY_SETTLING] = {"settling",
+		"a new coordinator is asking the workers what they run", ""},
+	[SCHED_WHY_PREEMPTED] = {"preempted",
+		"it ran on borrowed accelerators that their owner claimed",
+		"accelerators have to come free"},
+};
+
+/* Number of organisations that were ever known. */
+size_t sched_orgs(const struct sched *s)
+{
+	return s->orgs->len;
+}
+
+/* An organisation's name. */
+const char *sched_org_name(const struct sched *s, uint32_t org)
+{
+	return sched_org_at(s, org)->name;
+}
+
+/* Accelerators of an organisation that borrowers of others use now, per worker. */
+static uint32_t lent_by(const struct sched *s, uint32_t org)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < s->workers->len; i++) {
+		const struct sched_worker *w = sched_worker_at(s, i);
+		int32_t unheld = w->capacity.accelerators - w->used.accelerators;
+		int32_t lent = (int32_t)w->held - MAX(unheld, 0);
+		uint32_t left = org_left(s, org, i);
+
+		if (w->up && lent > 0)
+			sum += MIN((uint32_t)lent, left);
+	}
+	return sum;
+}
+
+/* What an organisation is guaranteed, uses, borrows and lends, in accelerators. */
+void sched_org_view(const struct sched *s, uint32_t org, struct sched_org_view *out)
+{
+	const struct sched_org *o = sched_org_at(s, org);
+
+	memset(out, 0, sizeof(*out));
+	out->name = o->name;
+	out->guaranteed = o->guaranteed;
+	for (uint32_t i = 0; i < s->workers->len; i++)
+		out->used_guaranteed += *org_charged(s, org, i);
+	out->borrowed = o->running_accelerators - out->used_guaranteed;
+	out->lent = lent_by(s, org);
+	for (guint i = 0; i < s->holds->len; i++) {
+		const struct sched_hold *h = s->holds->pdata[i];
+
+		if (h->org == org && !h->placed)
+			out->impossible += h->accelerators;
+	}
+	out->queued = (uint32_t)g_tree_nnodes(o->queue);
+}
+
+/* Number of workers that were ever known. */
+size_t sched_workers(const struct sched *s)
+{
+	return s->workers->len;
+}
+
+/* A worker's name. */
+const char *sched_worker_name(const struct sched *s, uint32_t worker)
+{
+	return sched_worker_at(s, worker)->name;
+}
+
+/* A worker's state; promised is what is guaranteed there and not used by its owners. */
+void sched_worker_view(const struct sched *s, uint32_t worker, struct sched_worker_view *out)
+{
+	const struct sched_worker *w = sched_worker_at(s, worker);
+
+	*out = (struct sched_worker_view){
+		.name = w->name,
+		.rack = s->racks->pdata[w->rack],
+		.up = w->up,
+		.draining = w->draining,
+		.quarantined = w->quarantined,
+		.capacity = w->capacity,
+		.used = w->used,
+		.promised = w->held,
+		.jobs = w->jobs,
+	};
+}
+
+/* What is free in the cell, by adjacency, and how long the oldest job waits. */
+void sched_free_view(const struct sched *s, int64_t now, struct sched_free_view *out)
+{
+	uint32_t *racks = xcalloc(s->racks->len, sizeof(*racks));
+
+	memset(out, 0, sizeof(*out));
+	for (uint32_t i = 0; i < s->workers->len; i++) {
+		const struct sched_worker *w = sched_worker_at(s, i);
+		struct sched_res room = worker_free(w);
+		uint32_t n = room.accelerators > 0 ? (uint32_t)room.accelerators : 0;
+
+		if (!w->up)
+			continue;
+		out->workers++;
+		out->accelerators += (uint32_t)w->capacity.accelerators;
+		if (w->draining || w->quarantined)
+			continue;
+		out->free += n;
+		racks[w->rack] += n;
+		out->largest_worker = MAX(out->largest_worker, n);
+		out->largest_rack = MAX(out->largest_rack, racks[w->rack]);
+	}
+	xfreep(&racks);
+	for (GTreeNode *n = g_tree_node_first(s->queue); n != NULL; n = g_tree_node_next(n)) {
+		const struct sched_job *j = g_tree_node_key(n);
+
+		out->oldest = MAX(out->oldest, now - j->submitted);
+	}
+	out->fragmentation = fit_fragmentation(s);
+}
+
+/* The members of a job as JSON. */
+static json_t *members_json(const struct sched *s, const struct sched_job *j)
+{
+	json_t *out = json_array();
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		const struct sched_worker *w = sched_worker_at(s, j->members[i].worker);
+
+		json_array_append_new(
+			out, json_pack("{s:s,s:s,s:i}", "worker", w->name, "rack",
+				     (const char *)s->racks->pdata[w->rack], "accelerators",
+				     (int)j->members[i].accelerators));
+	}
+	return out;
+}
+
+/* Why a job waits, or why it went where it went; NULL for an unknown job. */
+json_t *sched_explain(struct sched *s, int64_t now, job_ref job)
+{
+	const struct sched_job *j = sched_job(s, job);
+	const struct sched_decision *d;
+	const struct why_text *why;
+	uint32_t left = 0;
+	json_t *o;
+
+	if (j == NULL)
+		return NULL;
+	d = &j->decision;
+	why = &why_texts[s->settling && j->state == SCHED_JOB_QUEUED ? SCHED_WHY_SETTLING
+								     : d->why];
+	for (uint32_t i = 0; i < s->workers->len; i++)
+		left += org_left(s, j->org, i);
+	o = json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:b}", "state", state_names[j->state],
+		"reason", why->name, "text", why->text, "unblock", why->unblock, "adjacency",
+		adjacency_name(j->adjacency), "accelerators", (json_int_t)j->accelerators,
+		"attempt", (int)j->attempt, "preemptions", (int)j->preemptions, "guaranteed",
+		j->charged);
+	json_object_set_new(o, "waiting_ms",
+		json_integer((j->placed_at > 0 ? j->placed_at : now) / NSEC_PER_MSEC -
+			     j->submitted / NSEC_PER_MSEC));
+	json_object_set_new(o, "workers_considered", json_integer(d->considered));
+	json_object_set_new(o, "largest_fit", json_integer(d->largest_free));
+	json_object_set_new(o, "guarantee_left", json_integer(left));
+	json_object_set_new(o, "ahead", json_integer(d->before));
+	json_object_set_new(o, "borrowers_stopped", json_integer(d->victims));
+	json_object_set_new(o, "estimate_ms", json_integer(j->estimate / NSEC_PER_MSEC));
+	if (d->expected > now)
+		json_object_set_new(
+			o, "expected_in_ms", json_integer((d->expected - now) / NSEC_PER_MSEC));
+	json_object_set_new(o, "members", members_json(s, j));
+	return o;
+}
--- /dev/null
+++ b/packages/coordination/sched.c
@@ -0,0 +1,826 @@
+#include "sched-private.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FAILURES_MAX	3
+#define BACKOFF_BASE	NSEC_PER_SEC
+#define BACKOFF_MAX	(60 * NSEC_PER_SEC)
+#define RESERVE_BACKOFF (200 * NSEC_PER_MSEC)
+#define SHAPES_KEPT	1000
+#define RETRY_LATER_S	5
+
+/* Free a worker's record. */
+static void worker_free_record(void *p)
+{
+	struct sched_worker *w = p;
+
+	free(w->name);
+	free(w);
+}
+
+/* Free an organisation's record. */
+static void org_free_record(void *p)
+{
+	struct sched_org *o = p;
+
+	free(o->name);
+	g_array_unref(o->held);
+	g_array_unref(o->charged);
+	g_tree_destroy(o->queue);
+	g_hash_table_destroy(o->class_queued);
+	free(o);
+}
+
+/* Free a job's record. */
+static void job_free(struct sched_job *j)
+{
+	if (j == NULL)
+		return;
+	free(j->id);
+	free(j->kind);
+	free(j);
+}
+
+/* An empty core. The seed is for jitter. */
+struct sched *sched_new(enum sched_policy policy, uint64_t seed)
+{
+	struct sched *s = xcalloc(1, sizeof(*s));
+
+	s->policy = policy;
+	s->rand = g_rand_new_with_seed((guint32)seed);
+	s->grace = 5 * NSEC_PER_SEC;
+	s->weight = 0.5;
+	s->queue_max = UINT32_MAX;
+	s->class_max = g_hash_table_new(g_direct_hash, g_direct_equal);
+	s->workers = g_ptr_array_new_with_free_func(worker_free_record);
+	s->racks = g_ptr_array_new_with_free_func(free);
+	s->orgs = g_ptr_array_new_with_free_func(org_free_record);
+	s->holds = g_ptr_array_new_with_free_func(hold_free);
+	s->jobs = g_ptr_array_new();
+	s->free_refs = g_array_new(FALSE, FALSE, sizeof(job_ref));
+	s->active = g_ptr_array_new();
+	s->queue = g_tree_new_full(queue_compare, NULL, NULL, NULL);
+	s->learned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	g_queue_init(&s->actions);
+	return s;
+}
+
+/* Free the core with all its jobs. */
+void sched_free(struct sched *s)
+{
+	struct sched_action a;
+
+	if (s == NULL)
+		return;
+	while (sched_next(s, &a))
+		sched_action_clear(&a);
+	for (guint i = 0; i < s->jobs->len; i++)
+		job_free(s->jobs->pdata[i]);
+	g_ptr_array_unref(s->jobs);
+	g_ptr_array_unref(s->holds);
+	g_ptr_array_unref(s->orgs);
+	g_ptr_array_unref(s->racks);
+	g_ptr_array_unref(s->workers);
+	g_ptr_array_unref(s->active);
+	g_array_unref(s->free_refs);
+	g_tree_destroy(s->queue);
+	g_hash_table_destroy(s->learned);
+	g_hash_table_destroy(s->class_max);
+	g_rand_free(s->rand);
+	free(s);
+}
+
+/* Find a job by handle. */
+struct sched_job *sched_job(struct sched *s, job_ref job)
+{
+	return job < s->jobs->len ? s->jobs->pdata[job] : NULL;
+}
+
+/* Find an organisation by name, or make its record. */
+static uint32_t find_org(struct sched *s, const char *name)
+{
+	struct sched_org *o;
+
+	for (uint32_t i = 0; i < s->orgs->len; i++) {
+		if (strcmp(sched_org_at(s, i)->name, name) == 0)
+			return i;
+	}
+	o = xcalloc(1, sizeof(*o));
+	o->name = xstrdup(name);
+	o->held = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	o->charged = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	o->queue = g_tree_new_full(queue_compare, NULL, NULL, NULL);
+	o->class_queued = g_hash_table_new(g_direct_hash, g_direct_equal);
+	g_ptr_array_add(s->orgs, o);
+	return s->orgs->len - 1;
+}
+
+/* Find a rack by name, or make its record. */
+static uint32_t find_rack(struct sched *s, const char *name)
+{
+	for (uint32_t i = 0; i < s->racks->len; i++) {
+		if (strcmp(s->racks->pdata[i], name) == 0)
+			return i;
+	}
+	g_ptr_array_add(s->racks, xstrdup(name));
+	return s->racks->len - 1;
+}
+
+/* Find a worker by name; SCHED_NONE where it was never seen. */
+uint32_t sched_find_worker(const struct sched *s, const char *name)
+{
+	for (uint32_t i = 0; i < s->workers->len; i++) {
+		if (strcmp(sched_worker_at(s, i)->name, name) == 0)
+			return i;
+	}
+	return SCHED_NONE;
+}
+
+/* Take over the declared topology of our cell. */
+static void set_topology(struct sched *s, const struct doc *d, const char *cell)
+{
+	const struct doc_cell *c;
+
+	s->declared_workers = 0;
+	STAILQ_FOREACH(c, &d->cells, entry)
+	{
+		if (strcmp(c->name, cell) != 0)
+			continue;
+		s->declared_workers = c->workers;
+		s->declared_per_rack = c->workers_per_rack;
+		s->declared_accelerators = c->accelerators;
+	}
+}
+
+/* Adopt a document. */
+void sched_set_doc(struct sched *s, int64_t now, const struct doc *d, const char *cell)
+{
+	const struct doc_org *o;
+	const struct doc_class *c;
+
+	s->grace = d->grace;
+	s->weight = d->weight_completion;
+	s->queue_max = d->queue_max;
+	set_topology(s, d, cell);
+	g_hash_table_remove_all(s->class_max);
+	STAILQ_FOREACH(c, &d->classes, entry)
+	{
+		if (c->queue_max > 0)
+			g_hash_table_insert(s->class_max, GUINT_TO_POINTER(c->priority),
+				GUINT_TO_POINTER(c->queue_max));
+	}
+	for (uint32_t i = 0; i < s->orgs->len; i++)
+		sched_org_at(s, i)->present = false;
+	STAILQ_FOREACH(o, &d->orgs, entry)
+	{
+		struct sched_org *org = sched_org_at(s, find_org(s, o->name));
+
+		org->present = true;
+		org->quota_accelerators = o->quota_accelerators;
+		org->quota_jobs = o->quota_jobs;
+	}
+	if (s->policy == SCHED_POLICY_FULL)
+		plan_set_holds(s, now, d);
+	s->dirty = true;
+}
+
+/* A worker is there, or came back; its handle stays the same under one name. */
+uint32_t sched_worker_up(struct sched *s, int64_t now, const struct sched_worker_spec *spec)
+{
+	uint32_t at = sched_find_worker(s, spec->name);
+	struct sched_worker *w;
+
+	if (at == SCHED_NONE) {
+		w = xcalloc(1, sizeof(*w));
+		w->name = xstrdup(spec->name);
+		w->reserved_for = JOB_REF_NONE;
+		g_ptr_array_add(s->workers, w);
+		at = s->workers->len - 1;
+	}
+	w = sched_worker_at(s, at);
+	if (w->up && memcmp(&w->capacity, &spec->capacity, sizeof(w->capacity)) != 0)
+		sched_worker_down(s, now, at);
+	w->rack = find_rack(s, spec->rack);
+	w->capacity = spec->capacity;
+	w->up = true;
+	w->draining = false;
+	s->dirty = true;
+	if (s->policy == SCHED_POLICY_FULL)
+		plan_place(s, now);
+	return at;
+}
+
+/*
+ * A worker is gone: nothing new goes there and its holds move. The ends of its members are
+ * reported one by one, as only the coordinator knows which may have started.
+ */
+void sched_worker_down(struct sched *s, int64_t now, uint32_t worker)
+{
+	struct sched_worker *w = sched_worker_at(s, worker);
+
+	if (!w->up)
+		return;
+	w->up = false;
+	s->dirty = true;
+	if (s->policy == SCHED_POLICY_FULL)
+		plan_drop_worker(s, now, worker);
+}
+
+/* A worker leaves, or no longer wants to. */
+void sched_worker_drain(struct sched *s, uint32_t worker, bool draining)
+{
+	sched_worker_at(s, worker)->draining = draining;
+	s->dirty = true;
+}
+
+/* While restricted, a worker is given only jobs that may run twice. */
+void sched_worker_restrict(struct sched *s, uint32_t worker, bool restricted)
+{
+	sched_worker_at(s, worker)->restricted = restricted;
+	s->dirty = true;
+}
+
+/* Enter a job's members. pending: it waits for borrowers to leave. */
+void sched_take(
+	struct sched *s, struct sched_job *j, const struct fit *f, bool charged, bool pending)
+{
+	bool firm = charged || !job_stoppable(j);
+
+	memcpy(j->members, f->members, f->len * sizeof(f->members[0]));
+	j->members_len = f->len;
+	j->charged = charged;
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		struct sched_member *m = &j->members[i];
+		struct sched_worker *w = sched_worker_at(s, m->worker);
+
+		res_add(pending ? &w->pending : &w->used, &m->need);
+		if (firm)
+			res_add(&w->firm, &m->need);
+		if (charged) {
+			*org_charged(s, j->org, m->worker) += m->accelerators;
+			w->held -= m->accelerators;
+		}
+		w->jobs++;
+		if (w->quarantined)
+			w->probing = true;
+		sched_org_at(s, j->org)->running_accelerators += m->accelerators;
+	}
+	g_ptr_array_add(s->active, j);
+}
+
+/* Take a job's members out again. */
+void sched_give_back(struct sched *s, struct sched_job *j)
+{
+	bool firm = j->charged || !job_stoppable(j);
+	bool pending = j->state == SCHED_JOB_CLAIMING;
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		struct sched_member *m = &j->members[i];
+		struct sched_worker *w = sched_worker_at(s, m->worker);
+
+		res_sub(pending ? &w->pending : &w->used, &m->need);
+		if (firm)
+			res_sub(&w->firm, &m->need);
+		if (j->charged) {
+			*org_charged(s, j->org, m->worker) -= m->accelerators;
+			w->held += m->accelerators;
+		}
+		w->jobs--;
+		if (w->jobs == 0)
+			w->probing = false;
+		sched_org_at(s, j->org)->running_accelerators -= m->accelerators;
+	}
+	g_ptr_array_remove_fast(s->active, j);
+	j->members_len = 0;
+	j->charged = false;
+	s->dirty = true;
+}
+
+/* Append an action. */
+static struct sched_action *push_action(
+	struct sched *s, enum sched_action_kind kind, const struct sched_job *j)
+{
+	struct sched_action *a = xcalloc(1, sizeof(*a));
+
+	a->kind = kind;
+	a->job = j->ref;
+	a->attempt = j->attempt;
+	g_queue_push_tail(&s->actions, a);
+	return a;
+}
+
+/* Place a job whose members have been entered. */
+void sched_begin(struct sched *s, int64_t now, struct sched_job *j)
+{
+	if (j->state == SCHED_JOB_QUEUED)
+		queue_remove(s, j);
+	j->state = SCHED_JOB_PLACING;
+	j->stop = SCHED_STOP_NONE;
+	j->attempt++;
+	j->placed_at = now;
+	j->started_at = 0;
+	s->counts.placed++;
+	push_action(s, SCHED_PLACE, j);
+}
+
+/* Order all members of a job to stop. */
+void sched_order_stop(
+	struct sched *s, struct sched_job *j, enum stop_mode mode, enum sched_stop why)
+{
+	struct sched_action *a;
+
+	j->state = SCHED_JOB_STOPPING;
+	j->stop = why;
+	if (why == SCHED_STOP_PREEMPTED) {
+		s->counts.preempted++;
+		j->preemptions++;
+	}
+	a = push_action(s, SCHED_STOP, j);
+	a->stop.mode = mode;
+	a->stop.why = why;
+}
+
+/* End a job with its outcome; the owner forgets it once it has passed the answer on. */
+void sched_end(struct sched *s, struct sched_job *j, enum outcome outcome,
+	enum error_kind error, bool not_run, const char *fmt, ...)
+{
+	struct sched_org *o = sched_org_at(s, j->org);
+	gpointer priority = GUINT_TO_POINTER(j->class_priority);
+	struct sched_action *a;
+	va_list ap;
+
+	if (j->state == SCHED_JOB_QUEUED)
+		queue_remove(s, j);
+	j->state = SCHED_JOB_ENDED;
+	o->jobs--;
+	g_hash_table_insert(o->class_queued, priority,
+		GUINT_TO_POINTER(
+			GPOINTER_TO_UINT(g_hash_table_lookup(o->class_queued, priority)) - 1));
+	a = push_action(s, SCHED_END, j);
+	a->end.outcome = outcome;
+	a->end.error = error;
+	a->end.not_run = not_run;
+	a->end.retry_after_s = (uint32_t)error_answer(error)->retry_after_s;
+	va_start(ap, fmt);
+	if (vasprintf(&a->end.detail, fmt, ap) < 0)
+		abort();
+	va_end(ap);
+	if (not_run)
+		s->counts.refused++;
+}
+
+/* Make a job's record with its handle. */
+static struct sched_job *add_job(
+	struct sched *s, int64_t now, const struct job_spec *spec, void *owner)
+{
+	struct sched_job *j = xcalloc(1, sizeof(*j));
+	struct sched_org *o;
+	gpointer priority;
+
+	if (s->free_refs->len > 0) {
+		j->ref = g_array_index(s->free_refs, job_ref, s->free_refs->len - 1);
+		g_array_set_size(s->free_refs, s->free_refs->len - 1);
+		s->jobs->pdata[j->ref] = j;
+	} else {
+		j->ref = s->jobs->len;
+		g_ptr_array_add(s->jobs, j);
+	}
+	j->id = xstrdup(spec->id);
+	j->org = find_org(s, spec->org);
+	j->kind = xstrdup(spec->kind);
+	j->accelerators = spec->accelerators;
+	j->adjacency = spec->adjacency;
+	j->cores = spec->cores;
+	j->memory_mb = spec->memory_mb;
+	j->idempotent = spec->idempotent;
+	j->checkpoint = spec->checkpoint;
+	j->declared = spec->run_time_ms * NSEC_PER_MSEC;
+	j->deadline = spec->deadline_ms > 0 ? now + spec->deadline_ms * NSEC_PER_MSEC : 0;
+	j->submitted = now;
+	j->owner = owner;
+	j->sequence = s->sequence++;
+	o = sched_org_at(s, j->org);
+	o->jobs++;
+	j->class_priority = spec->priority;
+	j->urgent = spec->urgent;
+	priority = GUINT_TO_POINTER(j->class_priority);
+	g_hash_table_insert(o->class_queued, priority,
+		GUINT_TO_POINTER(
+			GPOINTER_TO_UINT(g_hash_table_lookup(o->class_queued, priority)) + 1));
+	return j;
+}
+
+/* The most accelerators that the topology offers within an adjacency; 0 if not declared. */
+static uint32_t topology_max(const struct sched *s, enum adjacency a)
+{
+	switch (a) {
+	case ADJACENCY_WORKER:
+		return s->declared_accelerators;
+	case ADJACENCY_RACK:
+		return s->declared_accelerators *
+		       MIN(s->declared_per_rack, s->declared_workers);
+	case ADJACENCY_ANY:
+		return s->declared_accelerators * s->declared_workers;
+	}
+	return 0;
+}
+
+/* Sum of what is guaranteed to others than an organisation. */
+static uint32_t guaranteed_to_others(const struct sched *s, uint32_t org)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < s->orgs->len; i++) {
+		if (i != org)
+			sum += sched_org_at(s, i)->guaranteed;
+	}
+	return sum;
+}
+
+/* Refuse a job that can never run, or that finds the queues full; false if it was refused. */
+static bool admit(struct sched *s, struct sched_job *j)
+{
+	const struct sched_org *o = sched_org_at(s, j->org);
+	uint32_t most = topology_max(s, j->adjacency);
+	uint32_t class_max = GPOINTER_TO_UINT(
+		g_hash_table_lookup(s->class_max, GUINT_TO_POINTER(j->class_priority)));
+	uint32_t class_queued = GPOINTER_TO_UINT(
+		g_hash_table_lookup(o->class_queued, GUINT_TO_POINTER(j->class_priority)));
+
+	if (s->declared_workers > 0 && j->accelerators > most)
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, true,
+			"%u accelerators within %s were asked for; the cell has %u at most",
+			j->accelerators, adjacency_name(j->adjacency), most);
+	else if (o->quota_accelerators > 0 && j->accelerators > o->quota_accelerators)
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_QUOTA, true,
+			"%u accelerators were asked for; the quota is %u", j->accelerators,
+			o->quota_accelerators);
+	else if (s->policy == SCHED_POLICY_FULL && s->declared_workers > 0 &&
+		 !job_stoppable(j) && j->accelerators > o->guaranteed &&
+		 j->accelerators + guaranteed_to_others(s, j->org) >
+			 topology_max(s, ADJACENCY_ANY))
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, true,
+			"a job that cannot be stopped needs its own guarantee or capacity that "
+			"nobody is guaranteed; %u accelerators of that kind there will never "
+			"be",
+			j->accelerators);
+	else if (o->quota_jobs > 0 && o->jobs > o->quota_jobs)
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_OVERLOAD, true,
+			"the organisation has %u jobs, which is its quota", o->quota_jobs);
+	else if (o->jobs > s->queue_max || (class_max > 0 && class_queued > class_max))
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_OVERLOAD, true,
+			"%u jobs of the organisation are waiting or running", o->jobs - 1);
+	else
+		return true;
+	return false;
+}
+
+/* Count the shape of a job for the measure of fragmentation; older ones fade. */
+static void count_shape(struct sched *s, const struct sched_job *j)
+{
+	uint32_t sum = 0;
+
+	if (j->accelerators == 0)
+		return;
+	s->shape_counts[j->adjacency][MIN(j->accelerators, JOB_ACCELERATORS_MAX)]++;
+	for (int a = 0; a < 3; a++) {
+		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
+			sum += s->shape_counts[a][n];
+	}
+	for (int a = 0; sum > SHAPES_KEPT && a < 3; a++) {
+		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
+			s->shape_counts[a][n] /= 2;
+	}
+}
+
+/* A new job. It may be ended at once by an action. */
+job_ref sched_submit(struct sched *s, int64_t now, const struct job_spec *spec, void *owner)
+{
+	struct sched_job *j = add_job(s, now, spec, owner);
+
+	j->state = SCHED_JOB_STOPPING;
+	if (!admit(s, j))
+		return j->ref;
+	count_shape(s, j);
+	j->decision = (struct sched_decision){.why = SCHED_WHY_NEW, .at = now};
+	queue_add(s, now, j);
+	return j->ref;
+}
+
+/* A job that runs already, as its agents say; for a coordinator that takes over. */
+job_ref sched_adopt(struct sched *s, int64_t now, const struct job_spec *spec, void *owner,
+	uint32_t attempt, const struct sched_member *members, uint32_t len, int64_t running)
+{
+	struct sched_job *j = add_job(s, now, spec, owner);
+	struct fit f = {.len = len};
+	uint32_t found = 0;
+
+	memcpy(f.members, members, len * sizeof(*members));
+	for (uint32_t i = 0; i < len; i++)
+		f.members[i].need = res_need(j, members[i].accelerators);
+	j->estimate = learn_estimate(s, j);
+	j->attempt = attempt;
+	j->submitted = now - running;
+	j->started_at = now - running;
+	j->placed_at = j->started_at;
+	j->state = SCHED_JOB_RUNNING;
+	j->decision = (struct sched_decision){.why = SCHED_WHY_FREE, .at = now};
+	sched_take(s, j, &f, false, false);
+	for (uint32_t i = 0; i < len; i++)
+		found += members[i].accelerators;
+	j->partial = found < j->accelerators;
+	if (j->partial)
+		sched_order_stop(s, j, STOP_NOW, SCHED_STOP_MEMBER_LOST);
+	if (s->policy == SCHED_POLICY_FULL) {
+		plan_lift_overfull(s);
+		plan_cover_running(s);
+		plan_place(s, now);
+	}
+	return j->ref;
+}
+
+/* The caller no longer wants a job. */
+void sched_cancel(struct sched *s, int64_t now, job_ref job)
+{
+	struct sched_job *j = sched_job(s, job);
+
+	(void)now;
+	if (j == NULL || j->cancel_wanted)
+		return;
+	switch (j->state) {
+	case SCHED_JOB_CLAIMING:
+		sched_give_back(s, j);
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, j->attempt == 0,
+			"cancelled before it started");
+		break;
+	case SCHED_JOB_QUEUED:
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, j->attempt == 0,
+			"cancelled before it started");
+		break;
+	case SCHED_JOB_PLACING:
+	case SCHED_JOB_RUNNING:
+		j->cancel_wanted = true;
+		sched_order_stop(s, j, STOP_NOW, SCHED_STOP_CANCELLED);
+		break;
+	case SCHED_JOB_STOPPING:
+		j->cancel_wanted = true;
+		break;
+	case SCHED_JOB_ENDED:
+		break;
+	}
+}
+
+/* All members of an attempt have started. */
+void sched_started(struct sched *s, int64_t now, job_ref job, uint32_t attempt)
+{
+	struct sched_job *j = sched_job(s, job);
+
+	if (j == NULL || j->attempt != attempt || j->started_at != 0)
+		return;
+	j->started_at = now;
+	j->may_run = true;
+	if (j->state == SCHED_JOB_PLACING)
+		j->state = SCHED_JOB_RUNNING;
+}
+
+/* Back into the queue after a while. */
+static void requeue(struct sched *s, int64_t now, struct sched_job *j, int64_t delay)
+{
+	double jitter = g_rand_double_range(s->rand, 0.5, 1.5);
+
+	j->partial = false;
+	j->not_before = delay > 0 ? now + (int64_t)((double)delay * jitter) : 0;
+	j->stop = SCHED_STOP_NONE;
+	j->decision = (struct sched_decision){
+		.why = delay > 0 ? SCHED_WHY_BACKOFF : SCHED_WHY_PREEMPTED, .at = now};
+	queue_add(s, now, j);
+}
+
+/* The attempt was taken back before any member could start. */
+void sched_reserve_failed(struct sched *s, int64_t now, job_ref job, uint32_t attempt)
+{
+	struct sched_job *j = sched_job(s, job);
+
+	if (j == NULL || j->attempt != attempt ||
+		(j->state != SCHED_JOB_PLACING && j->state != SCHED_JOB_STOPPING))
+		return;
+	sched_give_back(s, j);
+	if (j->cancel_wanted)
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->may_run,
+			"cancelled before it started");
+	else
+		requeue(s, now, j, RESERVE_BACKOFF);
+}
+
+/* How the members of an attempt ended, together. */
+struct ends {
+	uint32_t done;
+	uint32_t failed;
+	uint32_t never;
+	uint32_t lost;
+	uint32_t open;
+};
+
+static struct ends count_ends(const struct sched_job *j)
+{
+	struct ends e = {0};
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		const struct sched_member *m = &j->members[i];
+
+		if (!m->ended)
+			e.open++;
+		else if (m->end == MEMBER_END_DONE)
+			e.done++;
+		else if (m->end == MEMBER_END_FAILED)
+			e.failed++;
+		else if (m->end == MEMBER_END_NEVER_STARTED)
+			e.never++;
+		else if (m->end != MEMBER_END_STOPPED)
+			e.lost++;
+	}
+	return e;
+}
+
+/* Note which workers failed or served. */
+static void judge_workers(struct sched *s, int64_t now, struct sched_job *j)
+{
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		if (j->members[i].end == MEMBER_END_DONE)
+			health_done(s, j->members[i].worker);
+		else if (j->members[i].end == MEMBER_END_FAILED)
+			health_failed(s, now, j, j->members[i].worker);
+	}
+}
+
+/* Delay before the next attempt of a job that failed. */
+static int64_t backoff(const struct sched_job *j)
+{
+	return MIN(BACKOFF_BASE << MIN(j->failures, 10u), BACKOFF_MAX);
+}
+
+/* Decide on an attempt that failed or lost a member; resources are given back already. */
+static void settle_failed(
+	struct sched *s, int64_t now, struct sched_job *j, const struct ends *e, uint32_t size)
+{
+	if (e->never == size) {
+		requeue(s, now, j, RESERVE_BACKOFF);
+		return;
+	}
+	if (!j->idempotent && (e->lost > 0 || j->partial)) {
+		sched_end(s, j, OUTCOME_UNKNOWN, ERR_UNKNOWN_OUTCOME, false,
+			"a worker was lost after it may have started the job, which must not "
+			"run twice");
+		return;
+	}
+	if (j->stop == SCHED_STOP_PREEMPTED && e->failed == 0) {
+		requeue(s, now, j, 0);
+		return;
+	}
+	j->failures++;
+	if (!j->idempotent || j->failures >= FAILURES_MAX || health_job_is_bad(j)) {
+		enum error_kind kind = e->failed > 0 ? ERR_UPSTREAM_FAILED : ERR_MEMBER_LOST;
+
+		sched_end(s, j, OUTCOME_FAILED, kind, false, "attempt %u of %u failed",
+			j->attempt, j->idempotent ? FAILURES_MAX : 1);
+		return;
+	}
+	requeue(s, now, j, backoff(j));
+}
+
+/* All members of an attempt have ended: decide what becomes of the job. */
+static void settle(struct sched *s, int64_t now, struct sched_job *j)
+{
+	struct ends e = count_ends(j);
+	uint32_t size = j->members_len;
+	bool done = e.done == size && !j->partial;
+
+	judge_workers(s, now, j);
+	if (done && j->started_at > 0)
+		learn_sample(s, j, now - j->started_at + j->saved);
+	if (e.never < size)
+		j->may_run = true;
+	sched_give_back(s, j);
+	if (done)
+		sched_end(s, j, OUTCOME_DONE, ERR_INTERNAL, false, "done");
+	else if (j->cancel_wanted)
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->may_run,
+			j->may_run ? "cancelled while it ran" : "cancelled before it started");
+	else
+		settle_failed(s, now, j, &e, size);
+}
+
+/*
+ * One member of an attempt has ended. Repeated reports and those of other attempts are passed
+ * over. A member that ended other than well stops the others: the gang runs whole or not.
+ */
+void sched_member_ended(struct sched *s, int64_t now, job_ref job, uint32_t attempt,
+	uint32_t member, enum member_end end, int64_t saved)
+{
+	struct sched_job *j = sched_job(s, job);
+	struct sched_member *m;
+
+	if (j == NULL || j->attempt != attempt || member >= j->members_len ||
+		(j->state != SCHED_JOB_PLACING && j->state != SCHED_JOB_RUNNING &&
+			j->state != SCHED_JOB_STOPPING))
+		return;
+	m = &j->members[member];
+	if (m->ended)
+		return;
+	m->ended = true;
+	m->end = end;
+	if (saved > j->saved)
+		j->saved = saved;
+	if (count_ends(j).open == 0) {
+		settle(s, now, j);
+		return;
+	}
+	if (end != MEMBER_END_DONE && j->state != SCHED_JOB_STOPPING)
+		sched_order_stop(s, j, STOP_NOW, SCHED_STOP_MEMBER_LOST);
+}
+
+/* Drop the record of a job that has ended. */
+void sched_forget(struct sched *s, job_ref job)
+{
+	struct sched_job *j = sched_job(s, job);
+
+	if (j == NULL || j->state != SCHED_JOB_ENDED)
+		return;
+	s->jobs->pdata[job] = NULL;
+	g_array_append_val(s->free_refs, job);
+	job_free(j);
+}
+
+/* End the waiting jobs whose deadline has passed. */
+static void expire_deadlines(struct sched *s, int64_t now)
+{
+	g_autoptr(GPtrArray) late = g_ptr_array_new();
+
+	for (GTreeNode *n = g_tree_node_first(s->queue); n != NULL; n = g_tree_node_next(n)) {
+		struct sched_job *j = g_tree_node_key(n);
+
+		if (j->deadline > 0 && j->deadline <= now)
+			g_ptr_array_add(late, j);
+	}
+	for (guint i = 0; i < late->len; i++) {
+		struct sched_job *j = late->pdata[i];
+
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_DEADLINE, !j->may_run,
+			"the deadline passed while the job waited");
+	}
+}
+
+/* Decide; call after events and about once in 100 ms. */
+void sched_run(struct sched *s, int64_t now)
+{
+	expire_deadlines(s, now);
+	if (s->settling)
+		return;
+	s->dirty = false;
+	queue_pass(s, now);
+}
+
+/* While set, nothing is placed: a new coordinator does not know yet what runs. */
+void sched_set_settling(struct sched *s, bool settling)
+{
+	s->settling = settling;
+}
+
+/* Take the next action; the caller clears it. */
+bool sched_next(struct sched *s, struct sched_action *out)
+{
+	struct sched_action *a = g_queue_pop_head(&s->actions);
+
+	if (a == NULL)
+		return false;
+	*out = *a;
+	free(a);
+	return true;
+}
+
+/* Free what an action holds. */
+void sched_action_clear(struct sched_action *a)
+{
+	if (a->kind == SCHED_END)
+		free(a->end.detail);
+}
+
+/* Totals since the start. */
+const struct sched_counts *sched_counts(const struct sched *s)
+{
+	return &s->counts;
+}
+
+/* Number of waiting jobs. */
+size_t sched_queued(const struct sched *s)
+{
+	return (size_t)g_tree_nnodes(s->queue);
+}
+
+/* Number of placed jobs. */
+size_t sched_running(const struct sched *s)
+{
+	return s->active->len;
+}
--- /dev/null
+++ b/packages/coordination/sched.h
@@ -0,0 +1,239 @@
+#ifndef DP_SCHED_H
+#define DP_SCHED_H
+
+#include "protocol.h"
+#include "state.h"
+
+/*
+ * The decision core. It does no input or output and reads no clock: events and the time come
+ * in by calls, typed actions come out by sched_next. The coordinator, the property tests and
+ * the policy bench run the same code.
+ *
+ * Times are monotonic nanoseconds. Jobs and workers are named by small handles.
+ */
+
+typedef uint32_t job_ref;
+#define JOB_REF_NONE UINT32_MAX
+
+#define SCHED_MEMBERS_MAX 64
+
+enum sched_policy {
+	SCHED_POLICY_FULL,
+	SCHED_POLICY_FIFO,
+	SCHED_POLICY_BACKFILL
+};
+
+/* An amount of each resource of a worker; memory is in MiB. */
+struct sched_res {
+	int32_t accelerators;
+	int32_t slots;
+	int32_t cores;
+	int64_t memory_mb;
+};
+
+struct sched_worker_spec {
+	const char *name;
+	const char *rack;
+	struct sched_res capacity;
+};
+
+enum sched_job_state {
+	SCHED_JOB_QUEUED,
+	SCHED_JOB_CLAIMING,
+	SCHED_JOB_PLACING,
+	SCHED_JOB_RUNNING,
+	SCHED_JOB_STOPPING,
+	SCHED_JOB_ENDED
+};
+
+/* Why a job is being stopped. */
+enum sched_stop {
+	SCHED_STOP_NONE,
+	SCHED_STOP_PREEMPTED,
+	SCHED_STOP_CANCELLED,
+	SCHED_STOP_MEMBER_LOST,
+	SCHED_STOP_RESERVE_FAILED
+};
+
+/* Why a job waits, or how it came to its place. */
+enum sched_why {
+	SCHED_WHY_NEW,
+	SCHED_WHY_GUARANTEE,
+	SCHED_WHY_CLAIM,
+	SCHED_WHY_FREE,
+	SCHED_WHY_BACKFILL,
+	SCHED_WHY_BLOCKED,
+	SCHED_WHY_BEHIND,
+	SCHED_WHY_QUOTA,
+	SCHED_WHY_BACKOFF,
+	SCHED_WHY_UNSTOPPABLE,
+	SCHED_WHY_SETTLING,
+	SCHED_WHY_PREEMPTED
+};
+
+struct sched_member {
+	uint32_t worker;
+	uint32_t accelerators;
+	struct sched_res need;
+	bool ended;
+	enum member_end end;
+};
+
+/* The last decision on a job, for explanations. */
+struct sched_decision {
+	enum sched_why why;
+	int64_t at;
+	uint32_t considered;
+	uint32_t largest_free;
+	uint32_t own_left;
+	uint32_t victims;
+	uint32_t before;
+	int64_t expected;
+};
+
+struct sched_job {
+	job_ref ref;
+	char *id;
+	uint32_t org;
+	uint32_t class_priority;
+	bool urgent;
+	char *kind;
+	uint32_t accelerators;
+	enum adjacency adjacency;
+	uint32_t cores;
+	uint32_t memory_mb;
+	bool idempotent;
+	bool checkpoint;
+	int64_t declared;
+	int64_t deadline;
+	int64_t submitted;
+	void *owner;
+
+	enum sched_job_state state;
+	enum sched_stop stop;
+	bool cancel_wanted;
+	uint32_t attempt;
+	uint32_t failures;
+	uint32_t preemptions;
+	int64_t not_before;
+	int64_t estimate;
+	int64_t key;
+	uint64_t sequence;
+	int64_t placed_at;
+	int64_t started_at;
+	int64_t claim_at;
+	int64_t saved;
+	bool charged;
+	bool may_run;
+	bool partial;
+	struct sched_member members[SCHED_MEMBERS_MAX];
+	uint32_t members_len;
+	uint32_t failed_on[4];
+	uint32_t failed_on_len;
+	struct sched_decision decision;
+};
+
+enum sched_action_kind {
+	SCHED_PLACE,
+	SCHED_STOP,
+	SCHED_END
+};
+struct sched_action {
+	enum sched_action_kind kind;
+	job_ref job;
+	uint32_t attempt;
+	union {
+		struct {
+			enum stop_mode mode;
+			enum sched_stop why;
+		} stop;
+		struct {
+			enum outcome outcome;
+			enum error_kind error;
+			bool not_run;
+			uint32_t retry_after_s;
+			char *detail;
+		} end;
+	};
+};
+
+struct sched_counts {
+	uint64_t placed;
+	uint64_t preempted;
+	uint64_t claims;
+	uint64_t moved_holds;
+	uint64_t refused;
+	uint64_t quarantined;
+};
+
+/* sched.c */
+struct sched;
+struct sched *sched_new(enum sched_policy policy, uint64_t seed);
+void sched_free(struct sched *s);
+void sched_set_doc(struct sched *s, int64_t now, const struct doc *d, const char *cell);
+uint32_t sched_worker_up(struct sched *s, int64_t now, const struct sched_worker_spec *spec);
+void sched_worker_down(struct sched *s, int64_t now, uint32_t worker);
+void sched_worker_drain(struct sched *s, uint32_t worker, bool draining);
+void sched_worker_restrict(struct sched *s, uint32_t worker, bool restricted);
+job_ref sched_submit(struct sched *s, int64_t now, const struct job_spec *spec, void *owner);
+job_ref sched_adopt(struct sched *s, int64_t now, const struct job_spec *spec, void *owner,
+	uint32_t attempt, const struct sched_member *members, uint32_t len, int64_t running);
+void sched_cancel(struct sched *s, int64_t now, job_ref job);
+void sched_started(struct sched *s, int64_t now, job_ref job, uint32_t attempt);
+void sched_reserve_failed(struct sched *s, int64_t now, job_ref job, uint32_t attempt);
+void sched_member_ended(struct sched *s, int64_t now, job_ref job, uint32_t attempt,
+	uint32_t member, enum member_end end, int64_t saved);
+void sched_forget(struct sched *s, job_ref job);
+void sched_run(struct sched *s, int64_t now);
+bool sched_next(struct sched *s, struct sched_action *out);
+void sched_action_clear(struct sched_action *a);
+struct sched_job *sched_job(struct sched *s, job_ref job);
+const struct sched_counts *sched_counts(const struct sched *s);
+size_t sched_queued(const struct sched *s);
+size_t sched_running(const struct sched *s);
+void sched_set_settling(struct sched *s, bool settling);
+
+/* sched-view.c: what operators and tests see. */
+struct sched_org_view {
+	const char *name;
+	uint32_t guaranteed;
+	uint32_t used_guaranteed;
+	uint32_t borrowed;
+	uint32_t lent;
+	uint32_t impossible;
+	uint32_t queued;
+};
+struct sched_worker_view {
+	const char *name;
+	const char *rack;
+	bool up;
+	bool draining;
+	bool quarantined;
+	struct sched_res capacity;
+	struct sched_res used;
+	uint32_t promised;
+	uint32_t jobs;
+};
+struct sched_free_view {
+	uint32_t workers;
+	uint32_t accelerators;
+	uint32_t free;
+	uint32_t largest_worker;
+	uint32_t largest_rack;
+	int64_t oldest;
+	double fragmentation;
+};
+size_t sched_orgs(const struct sched *s);
+void sched_org_view(const struct sched *s, uint32_t org, struct sched_org_view *out);
+size_t sched_workers(const struct sched *s);
+void sched_worker_view(const struct sched *s, uint32_t worker, struct sched_worker_view *out);
+void sched_free_view(const struct sched *s, int64_t now, struct sched_free_view *out);
+const char *sched_worker_name(const struct sched *s, uint32_t worker);
+uint32_t sched_find_worker(const struct sched *s, const char *name);
+const char *sched_org_name(const struct sched *s, uint32_t org);
+json_t *sched_explain(struct sched *s, int64_t now, job_ref job);
+
+/* sched-check.c: NULL, or what is wrong with the state; freed by the caller. */
+char *sched_check(const struct sched *s);
+
+#endif
--- /dev/null
+++ b/packages/daemon/entry-config.c
@@ -0,0 +1,283 @@
+#include "entry-private.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A watch on the live keys says when to read again; a slow poll behind it catches what a
+ * broken watch would miss. The configuration is adopted only forwards.
+ */
+
+#define LIVE_PREFIX  STORE_PREFIX "live/"
+#define CELLS_PREFIX LIVE_PREFIX "cells/"
+#define ENTRY_PREFIX LIVE_PREFIX "entries/"
+#define POLL_PERIOD  (4 * NSEC_PER_SEC)
+#define WATCH_RETRY  (500 * NSEC_PER_MSEC)
+#define LEASE_S	     10
+#define LEASE_PERIOD (3 * NSEC_PER_SEC)
+
+GAUGE(config_number, "damaskpath_config_number", "Configuration in force in this process.");
+GAUGE(config_age, "damaskpath_config_checked_age_ms",
+	"Time since the configuration was last compared with the store, in milliseconds.");
+GAUGE(store_gauge, "damaskpath_store_up", "1 if the store answered the last call.");
+COUNTER(config_backwards, "damaskpath_config_backwards_total",
+	"Times that the store offered an older configuration, which was refused.");
+
+/* One reading of the live keys, on the pool. */
+struct reading {
+	struct entry *entry;
+	struct entry_view *view;
+	bool ok;
+	GError *err;
+};
+
+/* Free a cell's description. */
+static void cell_free(void *p)
+{
+	cell_term_clear(p);
+	free(p);
+}
+
+/* Free a view; for rcu_publish. */
+void view_free(void *view)
+{
+	struct entry_view *v = view;
+
+	if (v == NULL)
+		return;
+	doc_free(v->doc);
+	config_snapshot_clear(&v->config);
+	if (v->cells != NULL)
+		g_ptr_array_unref(v->cells);
+	free(v);
+}
+
+/* Copy the sections of the present view, to bring them up to date. */
+static void copy_config(struct config_snapshot *to, const struct entry_view *from)
+{
+	if (from == NULL || from->config.sections == NULL)
+		return;
+	*to = from->config;
+	to->sections = g_ptr_array_new_with_free_func(doc_section_free);
+	for (guint i = 0; i < from->config.sections->len; i++) {
+		const struct doc_section *s = from->config.sections->pdata[i];
+		struct doc_section *copy = xcalloc(1, sizeof(*copy));
+
+		*copy = *s;
+		copy->name = xstrdup(s->name);
+		copy->text = xstrdup(s->text);
+		g_ptr_array_add(to->sections, copy);
+	}
+}
+
+/* Take one live key into a view. */
+static void read_live_key(struct entry_view *v, const struct store_kv *kv)
+{
+	const char *rest;
+	const char *slash;
+	struct cell_term *t;
+	json_t *o;
+
+	if (g_str_has_prefix(kv->key, ENTRY_PREFIX)) {
+		v->entries++;
+		return;
+	}
+	if (!g_str_has_prefix(kv->key, CELLS_PREFIX))
+		return;
+	rest = kv->key + strlen(CELLS_PREFIX);
+	slash = strchr(rest, '/');
+	if (slash == NULL || strcmp(slash, "/term") != 0)
+		return;
+	o = json_loadb(kv->value.data, kv->value.len, 0, NULL);
+	t = xcalloc(1, sizeof(*t));
+	t->name = bytes_copy(rest, (size_t)(slash - rest)).data;
+	t->addr = xstrdup(json_string_value(json_object_get(o, "addr")));
+	t->term = (uint64_t)json_integer_value(json_object_get(o, "term"));
+	json_decref(o);
+	g_ptr_array_add(v->cells, t);
+}
+
+/* Read the configuration and the live keys. Runs on the pool. */
+static void read_run(void *arg)
+{
+	struct reading *r = arg;
+	struct store *s = r->entry->p->store;
+	struct store_range range;
+
+	r->ok = config_load(s, &r->view->config, &r->err) &&
+		store_get_range(s, LIVE_PREFIX, false, &range, &r->err);
+	if (!r->ok)
+		return;
+	for (size_t i = 0; i < range.len; i++)
+		read_live_key(r->view, &range.kvs[i]);
+	store_range_clear(&range);
+	r->view->doc = config_parse(&r->view->config);
+}
+
+/* Note whether the store answers. */
+static void note_store(struct entry *e, bool up, const GError *err)
+{
+	if (e->store_up != up) {
+		if (up)
+			log_info("entry", "The store answers again.");
+		else
+			log_warning("entry",
+				"The store does not answer: %s. The newest known "
+				"configuration stays in force.",
+				err->message);
+	}
+	__atomic_store_n(&e->store_up, up, __ATOMIC_RELAXED);
+	counter_set(&store_gauge, up);
+}
+
+/* The reading is here: put it in force. Runs on the loop. */
+static void read_done(void *arg)
+{
+	struct reading *r = arg;
+	struct entry *e = r->entry;
+	const struct entry_view *old = e->view;
+	bool backwards = !r->ok && error_kind_of(r->err) == ERR_CONFLICT;
+
+	e->loading = false;
+	note_store(e, r->ok || backwards, r->err);
+	if (backwards) {
+		counter_add(&config_backwards, 1);
+		log_error("entry", "The configuration was not adopted: %s.", r->err->message);
+	}
+	if (r->ok && r->view->doc != NULL) {
+		if (old == NULL || old->config.number != r->view->config.number) {
+			log_info("entry", "Configuration %" PRIu64 " is in force.",
+				r->view->config.number);
+			auth_warn_open(r->view->doc);
+		}
+		counter_set(&config_number, r->view->config.number);
+		e->loaded_at = loop_now(e->p->loop);
+		rcu_publish(&e->view, r->view, view_free);
+		links_update(e, r->view);
+		r->view = NULL;
+	}
+	view_free(r->view);
+	g_clear_error(&r->err);
+	free(r);
+	if (e->load_again) {
+		e->load_again = false;
+		config_refresh(e);
+	}
+}
+
+/* Read the configuration and the live keys again. */
+void config_refresh(struct entry *e)
+{
+	struct reading *r;
+
+	if (e->loading) {
+		e->load_again = true;
+		return;
+	}
+	e->loading = true;
+	r = xcalloc(1, sizeof(*r));
+	r->entry = e;
+	r->view = xcalloc(1, sizeof(*r->view));
+	r->view->cells = g_ptr_array_new_with_free_func(cell_free);
+	copy_config(&r->view->config, e->view);
+	work_submit(e->p->pool, read_run, read_done, r);
+}
+
+/* The posted half of a watch event. */
+static void refresh_posted(void *arg)
+{
+	config_refresh(arg);
+}
+
+/* The watch saw a change, or asks whether to go on. */
+static bool on_watch(const struct store_event *events, size_t len, int64_t revision, void *arg)
+{
+	struct entry *e = arg;
+
+	(void)events;
+	(void)revision;
+	if (len > 0)
+		loop_post(e->p->loop, refresh_posted, e);
+	return !__atomic_load_n(&e->watch_stop, __ATOMIC_ACQUIRE);
+}
+
+/* The watch's thread: a broken watch is begun anew, after a reading. */
+static void *watch_thread(void *arg)
+{
+	struct entry *e = arg;
+	struct timespec pause = {.tv_nsec = WATCH_RETRY};
+
+	while (!__atomic_load_n(&e->watch_stop, __ATOMIC_ACQUIRE)) {
+		struct store_range r;
+		int64_t from;
+
+		if (!store_get_range(e->p->store, LIVE_PREFIX "head", true, &r, NULL)) {
+			nanosleep(&pause, NULL);
+			continue;
+		}
+		from = r.revision + 1;
+		store_range_clear(&r);
+		loop_post(e->p->loop, refresh_posted, e);
+		if (!store_watch(e->p->store, LIVE_PREFIX, from, on_watch, e, NULL))
+			nanosleep(&pause, NULL);
+	}
+	return NULL;
+}
+
+/* Tell the other entries that we are there. Runs on the pool. */
+static void lease_run(void *arg)
+{
+	struct entry *e = arg;
+	AUTOFREE char *key = NULL;
+	struct store_op op;
+	struct store_txn txn = {.ops = &op, .ops_len = 1};
+	int64_t left = 0;
+	int64_t revision;
+	bool ok;
+
+	if (e->lease != 0 && store_lease_keepalive(e->p->store, e->lease, &left, NULL) &&
+		left > 0)
+		return;
+	if (!store_lease_grant(e->p->store, LEASE_S, &e->lease, NULL))
+		return;
+	xasprintf(&key, "%s%s", ENTRY_PREFIX, e->name);
+	op = (struct store_op){STORE_PUT, key, "{}", 2, e->lease};
+	store_run_txn(e->p->store, &txn, &ok, &revision, NULL);
+}
+
+static void lease_done(void *arg)
+{
+	((struct entry *)arg)->leasing = false;
+}
+
+/* Start to follow the store. */
+void config_start(struct entry *e)
+{
+	e->loaded_at = loop_now(e->p->loop);
+	config_refresh(e);
+	e->watch_started = pthread_create(&e->watch_thread, NULL, watch_thread, e) == 0;
+}
+
+/* Stop following the store. */
+void config_stop(struct entry *e)
+{
+	__atomic_store_n(&e->watch_stop, true, __ATOMIC_RELEASE);
+	if (e->watch_started)
+		pthread_join(e->watch_thread, NULL);
+	if (e->lease != 0)
+		store_lease_revoke(e->p->store, e->lease, NULL);
+}
+
+/* Poll now and then, and renew our lease. */
+void config_tick(struct entry *e, int64_t now)
+{
+	counter_set(&config_age, (uint64_t)((now - e->loaded_at) / NSEC_PER_MSEC));
+	if (now - e->loaded_at > POLL_PERIOD && !e->loading)
+		config_refresh(e);
+	if (!e->leasing && now - e->lease_at > LEASE_PERIOD && !e->stopping) {
+		e->leasing = true;
+		e->lease_at = now;
+		work_submit(e->p->pool, lease_run, lease_done, e);
+	}
+}
--- /dev/null
+++ b/packages/daemon/main.c
@@ -0,0 +1,239 @@
+#include "daemon.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define EXIT_USAGE  2
+#define STOP_PERIOD (50 * NSEC_PER_MSEC)
+
+enum role {
+	RUN_ENTRY = 1,
+	RUN_AGENT = 2,
+	RUN_STANDALONE = 3
+};
+
+static const struct role_entry {
+	const char *name;
+	enum role role;
+	const char *help;
+} roles[] = {
+	{"entry", RUN_ENTRY, "serve callers and operators"},
+	{"agent", RUN_AGENT,
+		"stand beside an upstream; coordinate the cell when it falls to us"},
+	{"standalone", RUN_STANDALONE, "all in one process with a store in memory"},
+};
+
+struct program {
+	struct process process;
+	struct agent *agent;
+	struct entry *entry;
+	int signal_fd;
+	bool stopping;
+	int64_t stop_at;
+	int exit_code;
+};
+
+/* Print how the program is called. */
+static void print_usage(FILE *out)
+{
+	fprintf(out, "usage: damaskpathd ROLE [--SETTING=VALUE ...]\n"
+		     "       damaskpathd ROLE --help | --check [...]\n"
+		     "       damaskpathd --version\n\nroles:\n");
+	for (size_t i = 0; i < ARRAY_LEN(roles); i++)
+		fprintf(out, "  %-12s %s\n", roles[i].name, roles[i].help);
+}
+
+/* Find a role by name. */
+static const struct role_entry *find_role(const char *name)
+{
+	for (size_t i = 0; i < ARRAY_LEN(roles); i++) {
+		if (strcmp(roles[i].name, name) == 0)
+			return &roles[i];
+	}
+	return NULL;
+}
+
+/* While stopping: end when nothing is in flight, or at the limit. */
+static void check_stopped(void *arg)
+{
+	struct program *p = arg;
+	bool idle = (p->entry == NULL || entry_idle(p->entry)) &&
+		    (p->agent == NULL || agent_idle(p->agent));
+
+	if (!idle && loop_now(p->process.loop) < p->stop_at)
+		return;
+	if (!idle) {
+		log_warning("main", "The limit for stopping has passed with work in flight.");
+		p->exit_code = 1;
+	}
+	loop_stop(p->process.loop);
+}
+
+/* A signal: begin a graceful stop. */
+static void on_signal(uint32_t events, void *arg)
+{
+	struct program *p = arg;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	if (read(p->signal_fd, &info, sizeof(info)) != sizeof(info) || p->stopping)
+		return;
+	log_info("main", "Stopping: no new work is taken, what is in flight is finished.");
+	p->stopping = true;
+	p->stop_at = loop_now(p->process.loop) + p->process.stop_limit;
+	if (p->entry != NULL)
+		entry_stop(p->entry);
+	if (p->agent != NULL)
+		agent_stop(p->agent);
+	loop_timer_add(p->process.loop, STOP_PERIOD, STOP_PERIOD, check_stopped, p);
+}
+
+/* Block the signals that the loop reads. */
+static int open_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+/* Write the sections of a file into a store that is empty. */
+static bool load_config(struct store *s, const char *path, GError **err)
+{
+	struct doc_problems problems = STAILQ_HEAD_INITIALIZER(problems);
+	g_autoptr(GPtrArray) sections = g_ptr_array_new_with_free_func(doc_section_free);
+	g_autofree char *text = NULL;
+	bool ok;
+
+	if (!g_file_get_contents(path, &text, NULL, err))
+		return false;
+	ok = doc_split(text, sections, &problems);
+	for (guint i = 0; ok && i < sections->len; i++) {
+		struct doc_section *section = sections->pdata[i];
+		struct config_edit edit = {.section = section->name,
+			.text = section->text,
+			.who = "start",
+			.wall_ns = clock_wall(&clock_system)};
+		uint64_t number;
+
+		ok = config_put(s, &edit, &number, &problems, NULL, err);
+	}
+	if (!STAILQ_EMPTY(&problems)) {
+		const struct doc_problem *p = STAILQ_FIRST(&problems);
+
+		g_clear_error(err);
+		error_set(err, ERR_INVALID, "%s:%d:%d: %s: %s", path, p->line, p->column,
+			p->key, p->rule);
+	}
+	doc_problems_clear(&problems);
+	return ok;
+}
+
+/* Open the store that the role uses. */
+static bool open_store(struct program *p, enum role role, GError **err)
+{
+	struct options *o = p->process.options;
+
+	if (role != RUN_STANDALONE) {
+		p->process.store = store_etcd_new(
+			options_string(o, "store"), options_number(o, "store-timeout"));
+		return true;
+	}
+	p->process.store = store_embedded_new(&clock_system);
+	return *options_string(o, "config") == '\0' ||
+	       load_config(p->process.store, options_string(o, "config"), err);
+}
+
+/* Run a role until it is stopped. */
+static int run(enum role role, struct options *o)
+{
+	struct program p = {.signal_fd = open_signals()};
+	g_autoptr(GError) err = NULL;
+	bool ok = process_init(&p.process, o, &err) && open_store(&p, role, &err);
+
+	if (ok && (role & RUN_AGENT)) {
+		p.agent = agent_new(&p.process, &err);
+		ok = p.agent != NULL;
+	}
+	if (ok && (role & RUN_ENTRY)) {
+		p.entry = entry_new(&p.process, &err);
+		ok = p.entry != NULL;
+	}
+	if (ok) {
+		loop_add_fd(p.process.loop, p.signal_fd, EPOLLIN, on_signal, &p);
+		loop_run(p.process.loop);
+	} else {
+		fprintf(stderr, "damaskpathd: %s\n", err->message);
+		p.exit_code = error_kind_of(err) == ERR_INVALID ? EXIT_USAGE : 1;
+	}
+	if (p.entry != NULL)
+		entry_free(p.entry);
+	if (p.agent != NULL)
+		agent_free(p.agent);
+	process_clear(&p.process);
+	log_info("main", "Stopped.");
+	return p.exit_code;
+}
+
+/* Take a flag that is not a setting out of the arguments. */
+static bool take_flag(int *argc, char **argv, const char *flag)
+{
+	for (int i = 1; i < *argc; i++) {
+		if (strcmp(argv[i], flag) != 0)
+			continue;
+		memmove(&argv[i], &argv[i + 1], (size_t)(*argc - i) * sizeof(*argv));
+		(*argc)--;
+		return true;
+	}
+	return false;
+}
+
+int main(int argc, char **argv)
+{
+	const struct role_entry *role;
+	g_autoptr(GError) err = NULL;
+	struct options *o;
+	bool check;
+	int code = 0;
+
+	if (argc > 1 && strcmp(argv[1], "--version") == 0) {
+		printf("damaskpathd %s\n", DP_VERSION);
+		return 0;
+	}
+	if (argc > 1 && strcmp(argv[1], "--help") == 0) {
+		print_usage(stdout);
+		return 0;
+	}
+	role = argc > 1 ? find_role(argv[1]) : NULL;
+	if (role == NULL) {
+		print_usage(stderr);
+		return EXIT_USAGE;
+	}
+	argc--;
+	argv++;
+	if (take_flag(&argc, argv, "--help")) {
+		printf("settings of damaskpathd %s:\n", role->name);
+		options_help(stdout, settings_table, settings_count, role->name);
+		return 0;
+	}
+	check = take_flag(&argc, argv, "--check");
+	o = options_parse(settings_table, settings_count, role->name, argc, argv, &err);
+	if (o == NULL) {
+		fprintf(stderr, "damaskpathd: %s\n", err->message);
+		return EXIT_USAGE;
+	}
+	if (!check)
+		code = run(role->role, o);
+	else
+		printf("the settings are valid\n");
+	options_free(o);
+	return code;
+}
--- /dev/null
+++ b/packages/daemon/process.c
@@ -0,0 +1,40 @@
+#include "daemon.h"
+
+#include <string.h>
+
+#define POOL_THREADS 4
+
+/* Set up what the settings name; the store is left to the caller where there is no URL. */
+bool process_init(struct process *p, struct options *o, GError **err)
+{
+	enum log_level level;
+
+	memset(p, 0, sizeof(*p));
+	p->options = o;
+	if (!log_level_parse(options_string(o, "log-level"), &level)) {
+		error_set(err, ERR_INVALID,
+			"setting log-level: '%s' is not error, warning, info or debug",
+			options_string(o, "log-level"));
+		return false;
+	}
+	log_set_level(level);
+	p->keys = keyring_parse(options_string(o, "peer-keys"), err);
+	if (p->keys == NULL)
+		return false;
+	p->zone = options_string(o, "zone");
+	p->stop_limit = options_number(o, "stop-limit");
+	p->loop = loop_new(&clock_system);
+	p->pool = work_pool_new(p->loop, POOL_THREADS);
+	return true;
+}
+
+/* Free all. */
+void process_clear(struct process *p)
+{
+	if (p->pool != NULL)
+		work_pool_free(p->pool);
+	if (p->loop != NULL)
+		loop_free(p->loop);
+	store_free(p->store);
+	keyring_free(p->keys);
+}
--- /dev/null
+++ b/packages/protocol/field.c
@@ -0,0 +1,263 @@
+#include "protocol.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_MAX 100000
+
+/*
+ * A struct travels as an array of its fields in the table's order. Fields may only be added
+ * at the end: a shorter array leaves the rest zero, and what follows the known fields is
+ * passed over, so that two versions can talk while the fleet is replaced.
+ */
+
+#define AT(s, f, type) ((type *)((char *)(s) + (f)->offset))
+
+static void pack_struct(msgpack_packer *pk, const struct field_table *t, const void *s);
+
+/* Pack one field. */
+static void pack_field(msgpack_packer *pk, const struct field *f, void *s)
+{
+	const struct bytes *b;
+	const char *text;
+	uint32_t n;
+
+	switch (f->kind) {
+	case FIELD_U32:
+		msgpack_pack_uint32(pk, *AT(s, f, uint32_t));
+		break;
+	case FIELD_U64:
+		msgpack_pack_uint64(pk, *AT(s, f, uint64_t));
+		break;
+	case FIELD_I64:
+		msgpack_pack_int64(pk, *AT(s, f, int64_t));
+		break;
+	case FIELD_BOOL:
+		if (*AT(s, f, bool))
+			msgpack_pack_true(pk);
+		else
+			msgpack_pack_false(pk);
+		break;
+	case FIELD_TEXT:
+		text = *AT(s, f, char *);
+		if (text == NULL)
+			msgpack_pack_nil(pk);
+		else
+			msgpack_pack_str_with_body(pk, text, strlen(text));
+		break;
+	case FIELD_BYTES:
+		b = AT(s, f, struct bytes);
+		msgpack_pack_bin_with_body(pk, b->data ? b->data : "", b->len);
+		break;
+	case FIELD_STRUCT:
+		pack_struct(pk, f->sub, AT(s, f, char));
+		break;
+	case FIELD_LIST:
+		n = *(uint32_t *)((char *)s + f->len_offset);
+		msgpack_pack_array(pk, n);
+		for (uint32_t i = 0; i < n; i++)
+			pack_struct(pk, f->sub, *AT(s, f, char *) + i * f->sub->size);
+		break;
+	}
+}
+
+/* Pack a struct as an array. */
+static void pack_struct(msgpack_packer *pk, const struct field_table *t, const void *s)
+{
+	msgpack_pack_array(pk, t->count);
+	for (size_t i = 0; i < t->count; i++)
+		pack_field(pk, &t->fields[i], (void *)s);
+}
+
+/* Encode a struct. */
+struct bytes fields_encode(const struct field_table *t, const void *s)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	struct bytes out;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	pack_struct(&pk, t, s);
+	out.len = buf.size;
+	out.data = msgpack_sbuffer_release(&buf);
+	return out;
+}
+
+static bool unpack_struct(const struct field_table *t, void *s, const msgpack_object *o);
+
+/* Unpack a list of structs. */
+static bool unpack_list(const struct field *f, void *s, const msgpack_object *o)
+{
+	uint32_t n;
+	char *items;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > LIST_MAX)
+		return false;
+	n = o->via.array.size;
+	items = xcalloc(n, f->sub->size);
+	*AT(s, f, char *) = items;
+	*(uint32_t *)((char *)s + f->len_offset) = n;
+	for (uint32_t i = 0; i < n; i++) {
+		if (!unpack_struct(f->sub, items + i * f->sub->size, &o->via.array.ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Copy a text object; texts with zero bytes inside are refused. */
+static bool unpack_text(char **out, const msgpack_object *o)
+{
+	if (o->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (o->type != MSGPACK_OBJECT_STR ||
+		memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
+		return false;
+	*out = bytes_copy(o->via.str.ptr, o->via.str.size).data;
+	return true;
+}
+
+/* Unpack one field; false where the type does not match. */
+static bool unpack_field(const struct field *f, void *s, const msgpack_object *o)
+{
+	bool whole = o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+
+	switch (f->kind) {
+	case FIELD_U32:
+		if (!whole || o->via.u64 > UINT32_MAX)
+			return false;
+		*AT(s, f, uint32_t) = (uint32_t)o->via.u64;
+		return true;
+	case FIELD_U64:
+		if (whole)
+			*AT(s, f, uint64_t) = o->via.u64;
+		return whole;
+	case FIELD_I64:
+		if (!(whole && o->via.u64 <= INT64_MAX) &&
+			o->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+			return false;
+		*AT(s, f, int64_t) = o->via.i64;
+		return true;
+	case FIELD_BOOL:
+		if (o->type != MSGPACK_OBJECT_BOOLEAN)
+			return false;
+		*AT(s, f, bool) = o->via.boolean;
+		return true;
+	case FIELD_TEXT:
+		return unpack_text(AT(s, f, char *), o);
+	case FIELD_BYTES:
+		if (o->type != MSGPACK_OBJECT_BIN)
+			return false;
+		*AT(s, f, struct bytes) = bytes_copy(o->via.bin.ptr, o->via.bin.size);
+		return true;
+	case FIELD_STRUCT:
+		return unpack_struct(f->sub, AT(s, f, char), o);
+	case FIELD_LIST:
+		return unpack_list(f, s, o);
+	}
+	return false;
+}
+
+/* Unpack a struct from an array. */
+static bool unpack_struct(const struct field_table *t, void *s, const msgpack_object *o)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (size_t i = 0; i < t->count && i < o->via.array.size; i++) {
+		if (!unpack_field(&t->fields[i], s, &o->via.array.ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Decode into a zeroed struct; on an error it is left cleared. */
+bool fields_decode(
+	const struct field_table *t, void *s, const void *data, size_t len, GError **err)
+{
+	msgpack_unpacked un;
+	size_t at = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&un);
+	ok = msgpack_unpack_next(&un, data, len, &at) == MSGPACK_UNPACK_SUCCESS && at == len &&
+	     unpack_struct(t, s, &un.data);
+	msgpack_unpacked_destroy(&un);
+	if (ok)
+		return true;
+	fields_clear(t, s);
+	error_set(err, ERR_PROTOCOL, "a malformed %s", t->name);
+	return false;
+}
+
+/* Free what a struct holds and zero it. */
+void fields_clear(const struct field_table *t, void *s)
+{
+	for (size_t i = 0; i < t->count; i++) {
+		const struct field *f = &t->fields[i];
+		uint32_t n;
+
+		switch (f->kind) {
+		case FIELD_TEXT:
+			free(*AT(s, f, char *));
+			break;
+		case FIELD_BYTES:
+			bytes_clear(AT(s, f, struct bytes));
+			break;
+		case FIELD_STRUCT:
+			fields_clear(f->sub, AT(s, f, char));
+			break;
+		case FIELD_LIST:
+			n = *(uint32_t *)((char *)s + f->len_offset);
+			for (uint32_t j = 0; j < n; j++)
+				fields_clear(f->sub, *AT(s, f, char *) + j * f->sub->size);
+			free(*AT(s, f, char *));
+			break;
+		case FIELD_U32:
+		case FIELD_U64:
+		case FIELD_I64:
+		case FIELD_BOOL:
+			break;
+		}
+	}
+	memset(s, 0, t->size);
+}
+
+/* Copy a struct with all that it holds. */
+void fields_copy(const struct field_table *t, void *to, const void *from)
+{
+	memcpy(to, from, t->size);
+	for (size_t i = 0; i < t->count; i++) {
+		const struct field *f = &t->fields[i];
+		const struct bytes *b;
+		uint32_t n;
+		char *items;
+
+		switch (f->kind) {
+		case FIELD_TEXT:
+			*AT(to, f, char *) = xstrdup(*AT(from, f, char *));
+			break;
+		case FIELD_BYTES:
+			b = AT(from, f, struct bytes);
+			if (b->data != NULL)
+				*AT(to, f, struct bytes) = bytes_copy(b->data, b->len);
+			break;
+		case FIELD_STRUCT:
+			fields_copy(f->sub, AT(to, f, char), AT(from, f, char));
+			break;
+		case FIELD_LIST:
+			n = *(const uint32_t *)((const char *)from + f->len_offset);
+			items = xcalloc(n, f->sub->size);
+			for (uint32_t j = 0; j < n; j++)
+				fields_copy(f->sub, items + j * f->sub->size,
+					*AT(from, f, char *) + j * f->sub->size);
+			*AT(to, f, char *) = items;
+			break;
+		case FIELD_U32:
+		case FIELD_U64:
+		case FIELD_I64:
+		case FIELD_BOOL:
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/packages/protocol/protocol.h
@@ -0,0 +1,360 @@
+#ifndef DP_PROTOCOL_H
+#define DP_PROTOCOL_H
+
+#include "base.h"
+
+/* Limits of what a job may carry, in bytes. */
+#define JOB_ID_MAX	     64
+#define JOB_NAME_MAX	     64
+#define JOB_KEY_MAX	     128
+#define JOB_PAYLOAD_MAX	     (1024 * 1024)
+#define JOB_ACCELERATORS_MAX 64
+
+/* How close together the accelerators of a job have to be. */
+enum adjacency {
+	ADJACENCY_ANY,
+	ADJACENCY_RACK,
+	ADJACENCY_WORKER
+};
+const char *adjacency_name(enum adjacency a);
+bool adjacency_parse(const char *name, enum adjacency *a);
+
+/* How a job ended, or that it has not yet. */
+enum outcome {
+	OUTCOME_NONE,
+	OUTCOME_DONE,
+	OUTCOME_FAILED,
+	OUTCOME_CANCELLED,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN
+};
+const char *outcome_name(enum outcome o);
+bool outcome_parse(const char *name, enum outcome *o);
+
+/* What a job asks for. Times are in milliseconds. */
+struct job_spec {
+	char *id;
+	char *org;
+	char *class_name;
+	uint32_t priority;
+	bool urgent;
+	char *kind;
+	char *key;
+	char *fingerprint;
+	uint32_t accelerators;
+	uint32_t adjacency;
+	uint32_t cores;
+	uint32_t memory_mb;
+	bool idempotent;
+	bool checkpoint;
+	bool durable;
+	int64_t run_time_ms;
+	int64_t deadline_ms;
+	int64_t submitted_wall_ms;
+	char *payload_type;
+	struct bytes payload;
+};
+
+/* How a job ended, with the upstream's answer where there is one. */
+struct job_result {
+	uint32_t outcome;
+	uint32_t error;
+	bool not_run;
+	uint32_t retry_after_s;
+	char *detail;
+	uint32_t status;
+	char *type;
+	struct bytes body;
+};
+
+enum peer_role {
+	ROLE_ENTRY,
+	ROLE_AGENT
+};
+
+/* First message of each side that dials. */
+struct msg_hello {
+	uint32_t role;
+	char *name;
+	char *addr;
+	char *zone;
+	uint64_t incarnation;
+	uint64_t term;
+};
+
+/* The coordinator's answer to a hello; term 0 says that it is not a coordinator. */
+struct msg_welcome {
+	uint64_t term;
+	char *cell;
+	uint32_t beat_ms;
+	uint32_t lease_ms;
+	uint64_t config_revision;
+	uint32_t grace_ms;
+};
+
+/* What an agent's upstream offers; sent when it changes. */
+struct msg_report {
+	uint64_t term;
+	char *worker;
+	char *rack;
+	char *zone;
+	uint32_t accelerators;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t cores;
+	uint32_t memory_mb;
+	bool serving;
+	bool draining;
+};
+
+enum member_state {
+	MEMBER_RESERVED,
+	MEMBER_RUNNING,
+	MEMBER_STOPPING,
+	MEMBER_ENDED
+};
+
+/* One member that an agent holds, with all that a new coordinator needs of its job. */
+struct member_record {
+	struct job_spec spec;
+	uint32_t attempt;
+	uint32_t member;
+	uint32_t size;
+	uint32_t accelerators;
+	uint32_t state;
+	uint32_t end;
+	int64_t running_ms;
+	struct job_result result;
+	char *roster;
+};
+
+/* An agent's ground truth, sent when it adopts a term. */
+struct msg_inventory {
+	uint64_t term;
+	struct member_record *members;
+	uint32_t members_len;
+};
+
+/* Sign of life with the usage that the upstream reported last. */
+struct msg_beat {
+	uint64_t term;
+	uint32_t members;
+	uint32_t busy_accelerators;
+	uint32_t usage_percent;
+	uint64_t config_revision;
+};
+struct msg_beat_ack {
+	uint64_t term;
+	uint64_t config_revision;
+	uint32_t grace_ms;
+	char *successors;
+};
+
+/* Reserve a member; with start set, a lone member starts at once. */
+struct msg_reserve {
+	uint64_t term;
+	struct job_spec spec;
+	uint32_t attempt;
+	uint32_t member;
+	uint32_t size;
+	uint32_t accelerators;
+	bool start;
+	char *roster;
+	struct bytes checkpoint;
+};
+struct msg_reserved {
+	uint64_t term;
+	char *job;
+	uint32_t attempt;
+	uint32_t member;
+	bool ok;
+	char *reason;
+};
+struct msg_start {
+	uint64_t term;
+	char *job;
+	uint32_t attempt;
+	char *roster;
+};
+
+enum stop_mode {
+	STOP_RELEASE,
+	STOP_CHECKPOINT,
+	STOP_NOW
+};
+struct msg_stop {
+	uint64_t term;
+	char *job;
+	uint32_t attempt;
+	uint32_t mode;
+	uint32_t grace_ms;
+};
+
+/* How one member's part ended. */
+enum member_end {
+	MEMBER_END_DONE,
+	MEMBER_END_FAILED,
+	MEMBER_END_STOPPED,
+	MEMBER_END_NEVER_STARTED,
+	MEMBER_END_UNKNOWN,
+	MEMBER_END_LOST
+};
+struct msg_ended {
+	uint64_t term;
+	char *job;
+	uint32_t attempt;
+	uint32_t member;
+	uint32_t end;
+	struct job_result result;
+	struct bytes checkpoint;
+};
+struct msg_ended_ack {
+	uint64_t term;
+	char *job;
+	uint32_t attempt;
+};
+
+/* Agent to agent: a running gang's members to member 0, and its answers. */
+struct msg_gang_beat {
+	char *job;
+	uint32_t attempt;
+	uint32_t member;
+	bool alive;
+	bool done;
+};
+
+/* Entry to coordinator. again is set when an earlier term may have seen the job. */
+struct msg_submit {
+	struct job_spec spec;
+	bool again;
+	uint64_t last_term;
+	bool wait;
+};
+struct msg_answer {
+	char *job;
+	uint64_t term;
+	uint64_t request;
+	bool accepted_only;
+	struct job_result result;
+};
+struct msg_cancel {
+	char *job;
+	char *org;
+	uint64_t request;
+};
+struct msg_query {
+	uint64_t request;
+	char *what;
+	char *arg;
+	char *org;
+};
+struct msg_reply {
+	uint64_t request;
+	uint32_t error;
+	bool failed;
+	char *json;
+};
+
+/* A cell's state as entries see it. */
+struct msg_summary {
+	uint64_t term;
+	char *cell;
+	uint32_t workers;
+	uint32_t free_accelerators;
+	uint32_t largest_worker;
+	uint32_t largest_rack;
+	uint32_t queued;
+	uint32_t running;
+	uint32_t oldest_ms;
+	uint64_t config_revision;
+};
+
+enum msg_kind {
+	MSG_HELLO = 1,
+	MSG_WELCOME,
+	MSG_REPORT,
+	MSG_INVENTORY,
+	MSG_BEAT,
+	MSG_BEAT_ACK,
+	MSG_RESERVE,
+	MSG_RESERVED,
+	MSG_START,
+	MSG_STOP,
+	MSG_ENDED,
+	MSG_ENDED_ACK,
+	MSG_GANG_BEAT,
+	MSG_SUBMIT,
+	MSG_ANSWER,
+	MSG_CANCEL,
+	MSG_QUERY,
+	MSG_REPLY,
+	MSG_SUMMARY,
+	MSG_KIND_END
+};
+
+/* Any message; kind tells which member of the union is valid. */
+struct msg {
+	enum msg_kind kind;
+	union {
+		struct msg_hello hello;
+		struct msg_welcome welcome;
+		struct msg_report report;
+		struct msg_inventory inventory;
+		struct msg_beat beat;
+		struct msg_beat_ack beat_ack;
+		struct msg_reserve reserve;
+		struct msg_reserved reserved;
+		struct msg_start start;
+		struct msg_stop stop;
+		struct msg_ended ended;
+		struct msg_ended_ack ended_ack;
+		struct msg_gang_beat gang_beat;
+		struct msg_submit submit;
+		struct msg_answer answer;
+		struct msg_cancel cancel;
+		struct msg_query query;
+		struct msg_reply reply;
+		struct msg_summary summary;
+	};
+};
+
+/* field.c: one table per struct drives encoding, decoding, copying and freeing. */
+enum field_kind {
+	FIELD_U32,
+	FIELD_U64,
+	FIELD_I64,
+	FIELD_BOOL,
+	FIELD_TEXT,
+	FIELD_BYTES,
+	FIELD_STRUCT,
+	FIELD_LIST
+};
+struct field_table;
+struct field {
+	enum field_kind kind;
+	size_t offset;
+	size_t len_offset;
+	const struct field_table *sub;
+};
+struct field_table {
+	const char *name;
+	size_t size;
+	const struct field *fields;
+	size_t count;
+};
+struct bytes fields_encode(const struct field_table *t, const void *s);
+bool fields_decode(
+	const struct field_table *t, void *s, const void *data, size_t len, GError **err);
+void fields_clear(const struct field_table *t, void *s);
+void fields_copy(const struct field_table *t, void *to, const void *from);
+
+/* message.c */
+extern const struct field_table job_spec_fields;
+extern const struct field_table job_result_fields;
+extern const struct field_table member_record_fields;
+const char *msg_name(enum msg_kind kind);
+struct bytes msg_encode(const struct msg *m);
+bool msg_decode(struct msg *m, const void *data, size_t len, GError **err);
+void msg_clear(struct msg *m);
+
+#endif
--- /dev/null
+++ b/packages/standin/standin-upstream.c
@@ -0,0 +1,312 @@
+#include "state.h"
+
+#include <argtable2.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+/*
+ * Stands in for an upstream: announces itself to the agent beside it and runs tasks that do
+ * nothing but wait. A task's payload may be JSON: {"sleep_ms":N}, {"fail":true},
+ * {"refuse":true}, {"ignore_stop":true}; the answer is the payload itself. GET /log tells
+ * which tasks were begun and how they ended, so that tests can count runs.
+ */
+
+#define ANNOUNCE_PERIOD (NSEC_PER_SEC)
+
+struct task {
+	char *name;
+	char *job;
+	struct http_request *request;
+	struct loop_timer *timer;
+	struct bytes payload;
+	char *type;
+	bool ignore_stop;
+	bool fail;
+	int64_t began;
+};
+
+struct standin {
+	struct loop *loop;
+	struct http_client *client;
+	struct http_server *http;
+	char *agent;
+	char *worker;
+	char *rack;
+	int accelerators;
+	int slots;
+	int cores;
+	int memory_mb;
+	bool fail_all;
+	bool leaving;
+	GHashTable *tasks;
+	GString *log;
+	pthread_mutex_t log_lock;
+	int signal_fd;
+};
+
+static struct standin standin;
+
+/* Add a line to the log of runs. */
+static void log_run(const char *word, const char *task)
+{
+	pthread_mutex_lock(&standin.log_lock);
+	g_string_append_printf(standin.log, "%s %s\n", word, task);
+	pthread_mutex_unlock(&standin.log_lock);
+}
+
+/* Free a task; for the table. */
+static void task_free(void *p)
+{
+	struct task *t = p;
+
+	free(t->name);
+	free(t->job);
+	free(t->type);
+	bytes_clear(&t->payload);
+	free(t);
+}
+
+/* End a task with an answer. */
+static void finish(struct task *t, int status, const char *word)
+{
+	loop_timer_del(standin.loop, t->timer);
+	log_run(word, t->name);
+	http_reply(t->request, status, t->type != NULL ? t->type : "application/octet-stream",
+		t->payload.data, t->payload.len);
+	g_hash_table_remove(standin.tasks, t->name);
+}
+
+/* A task's time is over. */
+static void on_time(void *arg)
+{
+	struct task *t = arg;
+
+	finish(t, t->fail ? 500 : 200, t->fail ? "failed" : "done");
+}
+
+/* Begin a task. Posted to the loop. */
+static void begin(void *arg)
+{
+	struct task *t = arg;
+	json_t *o = json_loadb(t->payload.data, t->payload.len, 0, NULL);
+	int64_t sleep_ms = json_integer_value(json_object_get(o, "sleep_ms"));
+	bool refuse = json_is_true(json_object_get(o, "refuse"));
+
+	t->fail = standin.fail_all || json_is_true(json_object_get(o, "fail"));
+	t->ignore_stop = json_is_true(json_object_get(o, "ignore_stop"));
+	json_decref(o);
+	if (refuse || standin.leaving) {
+		http_reply_text(t->request, 503, "text/plain", "not begun\n");
+		task_free(t);
+		return;
+	}
+	log_run("begin", t->name);
+	t->began = loop_now(standin.loop);
+	g_hash_table_replace(standin.tasks, t->name, t);
+	t->timer = loop_timer_add(standin.loop, sleep_ms * NSEC_PER_MSEC, 0, on_time, t);
+}
+
+/* A word about a task: stop, checkpoint or throttle. */
+struct word {
+	struct http_request *request;
+	char *task;
+	char *word;
+};
+
+/* Handle a word on the loop. */
+static void on_word(void *arg)
+{
+	struct word *w = arg;
+	struct task *t = g_hash_table_lookup(standin.tasks, w->task);
+
+	if (t == NULL) {
+		http_reply_text(w->request, 404, "text/plain", "no such task\n");
+	} else if (strcmp(w->word, "stop") == 0) {
+		http_reply_text(w->request, 200, "text/plain", "ok\n");
+		if (!t->ignore_stop) {
+			bytes_clear(&t->payload);
+			t->payload = bytes_copy("stopped\n", 8);
+			finish(t, 409, "stopped");
+		}
+	} else if (strcmp(w->word, "checkpoint") == 0) {
+		char state[64];
+		int len = snprintf(state, sizeof(state), "{\"ran_ms\":%lld}",
+			(long long)((loop_now(standin.loop) - t->began) / NSEC_PER_MSEC));
+
+		http_reply(w->request, 200, "application/json", state, (size_t)len);
+	} else {
+		http_reply_text(w->request, 200, "text/plain", "ok\n");
+	}
+	free(w->task);
+	free(w->word);
+	free(w);
+}
+
+/* POST /tasks. */
+static void on_task(struct http_request *r)
+{
+	struct task *t = xcalloc(1, sizeof(*t));
+	const char *job = http_header(r, "Damaskpath-Job");
+	const char *attempt = http_header(r, "Damaskpath-Attempt");
+	const char *member = http_header(r, "Damaskpath-Member");
+
+	t->request = r;
+	t->job = xstrdup(job != NULL ? job : "none");
+	xasprintf(&t->name, "%s-%s-%s", t->job, attempt != NULL ? attempt : "0",
+		member != NULL ? member : "0");
+	t->type = xstrdup(http_header(r, "Content-Type"));
+	t->payload = bytes_copy(http_body(r)->data, http_body(r)->len);
+	loop_post(standin.loop, begin, t);
+}
+
+/* A request. */
+static void on_request(struct http_request *r, void *arg)
+{
+	const char *path = http_path(r);
+
+	(void)arg;
+	if (strcmp(path, "/tasks") == 0) {
+		on_task(r);
+	} else if (strcmp(path, "/log") == 0) {
+		pthread_mutex_lock(&standin.log_lock);
+		http_reply_text(r, 200, "text/plain", standin.log->str);
+		pthread_mutex_unlock(&standin.log_lock);
+	} else if (g_str_has_prefix(path, "/tasks/") && strrchr(path, '/') > path + 6) {
+		struct word *w = xcalloc(1, sizeof(*w));
+		const char *slash = strrchr(path, '/');
+
+		w->request = r;
+		w->task = bytes_copy(path + 7, (size_t)(slash - path - 7)).data;
+		w->word = xstrdup(slash + 1);
+		loop_post(standin.loop, on_word, w);
+	} else {
+		http_reply_text(r, 404, "text/plain", "no such path\n");
+	}
+}
+
+/* The agent answered an announcement. */
+static void on_announced(struct http_call *c, void *arg)
+{
+	(void)arg;
+	http_call_free(c);
+}
+
+/* Announce ourselves, or that we leave. */
+static void announce(void *arg)
+{
+	AUTOFREE char *url = NULL;
+	struct http_call *c;
+	json_t *o;
+
+	(void)arg;
+	xasprintf(&url, "http://%s/v1/upstream", standin.agent);
+	c = http_call_new(standin.leaving ? "DELETE" : "POST", url);
+	o = json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:f}", "address",
+		http_server_addr(standin.http), "worker", standin.worker, "rack", standin.rack,
+		"accelerators", standin.accelerators, "slots", standin.slots, "connections", 64,
+		"cores", standin.cores, "memory_mb", standin.memory_mb, "ttl_s", 3.0);
+	c->body.data = json_dumps(o, JSON_COMPACT);
+	c->body.len = strlen(c->body.data);
+	json_decref(o);
+	c->timeout = NSEC_PER_SEC;
+	c->done = on_announced;
+	http_client_send(standin.client, c);
+}
+
+/* End once no task is left. */
+static void check_idle(void *arg)
+{
+	(void)arg;
+	if (g_hash_table_size(standin.tasks) == 0)
+		loop_stop(standin.loop);
+}
+
+/* A signal: leave, finish the tasks, end. */
+static void on_signal(uint32_t events, void *arg)
+{
+	struct signalfd_siginfo info;
+
+	(void)events;
+	(void)arg;
+	if (read(standin.signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	standin.leaving = true;
+	announce(NULL);
+	loop_timer_add(
+		standin.loop, 300 * NSEC_PER_MSEC, 100 * NSEC_PER_MSEC, check_idle, NULL);
+}
+
+/* Read the command line. */
+static bool parse_args(int argc, char **argv, char **http)
+{
+	struct arg_str *listen = arg_str0(NULL, "http", "IP:PORT", "address for tasks");
+	struct arg_str *agent = arg_str1(NULL, "agent", "IP:PORT", "agent to announce to");
+	struct arg_str *worker = arg_str1(NULL, "worker", "NAME", "name of the worker");
+	struct arg_str *rack = arg_str1(NULL, "rack", "NAME", "rack of the worker");
+	struct arg_int *accelerators = arg_int0(NULL, "accelerators", "N", "accelerators");
+	struct arg_int *slots = arg_int0(NULL, "slots", "N", "slots");
+	struct arg_int *cores = arg_int0(NULL, "cores", "N", "cores");
+	struct arg_lit *fail = arg_lit0(NULL, "fail-all", "fail every task");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {listen, agent, worker, rack, accelerators, slots, cores, fail, end};
+
+	accelerators->ival[0] = 8;
+	slots->ival[0] = 8;
+	cores->ival[0] = 32;
+	if (arg_parse(argc, argv, table) != 0) {
+		arg_print_errors(stderr, end, "standin-upstream");
+		return false;
+	}
+	*http = xstrdup(listen->count > 0 ? listen->sval[0] : "127.0.0.1:0");
+	standin.agent = xstrdup(agent->sval[0]);
+	standin.worker = xstrdup(worker->sval[0]);
+	standin.rack = xstrdup(rack->sval[0]);
+	standin.accelerators = accelerators->ival[0];
+	standin.slots = slots->ival[0];
+	standin.cores = cores->ival[0];
+	standin.memory_mb = 65536;
+	standin.fail_all = fail->count > 0;
+	arg_freetable(table, ARRAY_LEN(table));
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct http_limits limits = {.body_max = 2 * 1024 * 1024,
+		.connections_max = 1024,
+		.idle_timeout_s = 0,
+		.threads = 2};
+	g_autoptr(GError) err = NULL;
+	AUTOFREE char *http = NULL;
+	sigset_t set;
+
+	if (!parse_args(argc, argv, &http))
+		return 2;
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	standin.signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	pthread_mutex_init(&standin.log_lock, NULL);
+	standin.log = g_string_new(NULL);
+	standin.tasks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
+	standin.loop = loop_new(&clock_system);
+	standin.client = http_client_new(standin.loop);
+	standin.http = http_server_new(http, &limits, on_request, NULL, &err);
+	if (standin.http == NULL) {
+		fprintf(stderr, "standin-upstream: %s\n", err->message);
+		return 1;
+	}
+	loop_add_fd(standin.loop, standin.signal_fd, EPOLLIN, on_signal, NULL);
+	loop_timer_add(standin.loop, 0, ANNOUNCE_PERIOD, announce, NULL);
+	printf("ready %s\n", http_server_addr(standin.http));
+	fflush(stdout);
+	loop_run(standin.loop);
+	_exit(0);
+}
--- /dev/null
+++ b/packages/state/config-store.c
@@ -0,0 +1,381 @@
+#include "state.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The head names each section with the number of the edit that wrote it. It is written in the
+ * same transaction as the section and the audit entry, and compared in it, so that an edit is
+ * checked against exactly the document that it joins.
+ */
+
+#define HEAD_KEY       STORE_PREFIX "live/head"
+#define SECTION_PREFIX STORE_PREFIX "config/section/"
+#define AUDIT_PREFIX   STORE_PREFIX "config/audit/"
+#define AUDIT_KEPT     500
+#define PUT_TRIES      16
+#define LOAD_TRIES     8
+#define TOKEN_BYTES    8
+
+/* A section of a snapshot. */
+const struct doc_section *config_find(const struct config_snapshot *c, const char *section)
+{
+	for (guint i = 0; c->sections != NULL && i < c->sections->len; i++) {
+		const struct doc_section *s = c->sections->pdata[i];
+
+		if (strcmp(s->name, section) == 0)
+			return s;
+	}
+	return NULL;
+}
+
+/* Free a snapshot. */
+void config_snapshot_clear(struct config_snapshot *c)
+{
+	if (c->sections != NULL)
+		g_ptr_array_unref(c->sections);
+	memset(c, 0, sizeof(*c));
+}
+
+/* Read one key as JSON; NULL where it is absent or an error is set. */
+static json_t *read_json(struct store *s, const char *key, int64_t *mod_revision, GError **err)
+{
+	struct store_range r;
+	json_t *o = NULL;
+
+	*mod_revision = 0;
+	if (!store_get_range(s, key, true, &r, err))
+		return NULL;
+	if (r.len == 1) {
+		*mod_revision = r.kvs[0].mod_revision;
+		o = json_loadb(r.kvs[0].value.data, r.kvs[0].value.len, 0, NULL);
+		if (o == NULL)
+			error_set(err, ERR_INTERNAL, "the key %s does not hold JSON", key);
+	}
+	store_range_clear(&r);
+	return o;
+}
+
+/* Make a section. */
+static struct doc_section *section_new(const char *name, const char *text, uint64_t number)
+{
+	struct doc_section *s = xcalloc(1, sizeof(*s));
+
+	s->name = xstrdup(name);
+	s->text = xstrdup(text);
+	s->number = number;
+	s->first_line = 1;
+	return s;
+}
+
+/* Fetch one section; *newer is set where an edit came between. */
+static bool fetch_section(struct store *s, const char *name, uint64_t number,
+	GPtrArray *sections, bool *newer, GError **err)
+{
+	AUTOFREE char *key = NULL;
+	int64_t revision;
+	json_t *o;
+
+	xasprintf(&key, "%s%s", SECTION_PREFIX, name);
+	o = read_json(s, key, &revision, err);
+	if (o == NULL && err != NULL && *err != NULL)
+		return false;
+	*newer = o == NULL ||
+		 (uint64_t)json_integer_value(json_object_get(o, "number")) != number;
+	if (!*newer)
+		g_ptr_array_add(sections,
+			section_new(
+				name, json_string_value(json_object_get(o, "text")), number));
+	json_decref(o);
+	return true;
+}
+
+/* Take over or fetch each section that the head names. */
+static bool fill_sections(struct store *s, const struct config_snapshot *old, json_t *names,
+	GPtrArray *sections, bool *newer, GError **err)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach(names, name, value) {
+		uint64_t number = (uint64_t)json_integer_value(value);
+		const struct doc_section *have = config_find(old, name);
+
+		if (have != NULL && have->number == number)
+			g_ptr_array_add(sections, section_new(name, have->text, number));
+		else if (!fetch_section(s, name, number, sections, newer, err))
+			return false;
+		if (*newer)
+			return true;
+	}
+	return true;
+}
+
+/*
+ * Bring a snapshot up to date; a zeroed one is filled. Reads the head, then only the sections
+ * that changed. A head with a lower number than the snapshot's is refused: configuration never
+ * goes back.
+ */
+bool config_load(struct store *s, struct config_snapshot *io, GError **err)
+{
+	for (int i = 0; i < LOAD_TRIES; i++) {
+		g_autoptr(GError) why = NULL;
+		GPtrArray *sections;
+		int64_t revision;
+		json_t *head = read_json(s, HEAD_KEY, &revision, &why);
+		uint64_t number = (uint64_t)json_integer_value(json_object_get(head, "number"));
+		bool newer = false;
+		bool ok;
+
+		if (why != NULL) {
+			g_propagate_error(err, g_steal_pointer(&why));
+			return false;
+		}
+		if (number < io->number) {
+			json_decref(head);
+			error_set(err, ERR_CONFLICT,
+				"the store's configuration %" PRIu64
+				" is older than ours, %" PRIu64,
+				number, io->number);
+			return false;
+		}
+		if (revision == io->head_revision && io->sections != NULL) {
+			json_decref(head);
+			return true;
+		}
+		sections = g_ptr_array_new_with_free_func(doc_section_free);
+		ok = fill_sections(
+			s, io, json_object_get(head, "sections"), sections, &newer, err);
+		json_decref(head);
+		if (ok && !newer) {
+			config_snapshot_clear(io);
+			io->sections = sections;
+			io->head_revision = revision;
+			io->number = number;
+			return true;
+		}
+		g_ptr_array_unref(sections);
+		if (!ok)
+			return false;
+	}
+	error_set(err, ERR_CONFLICT, "the configuration changes too fast to be read");
+	return false;
+}
+
+/* Parse and check the document with one section replaced; false where there are problems. */
+static bool check_edit(const struct config_snapshot *c, const struct config_edit *edit,
+	struct doc_problems *problems)
+{
+	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct doc_section));
+	struct doc_section mine = {
+		.name = (char *)edit->section, .text = (char *)edit->text, .first_line = 1};
+	struct doc *d;
+
+	for (guint i = 0; i < c->sections->len; i++) {
+		const struct doc_section *s = c->sections->pdata[i];
+
+		if (strcmp(s->name, edit->section) != 0)
+			g_array_append_val(all, *s);
+	}
+	if (*edit->text != '\0')
+		g_array_append_val(all, mine);
+	d = doc_parse_sections((struct doc_section *)all->data, all->len, problems);
+	if (STAILQ_EMPTY(problems) && config_find(c, "cluster") != NULL)
+		doc_check(d, problems);
+	doc_free(d);
+	g_array_unref(all);
+	return STAILQ_EMPTY(problems);
+}
+
+/* The head after an edit. */
+static json_t *next_head(const struct config_snapshot *c, const struct config_edit *edit,
+	uint64_t number, const char *token)
+{
+	json_t *sections = json_object();
+
+	for (guint i = 0; i < c->sections->len; i++) {
+		const struct doc_section *s = c->sections->pdata[i];
+
+		json_object_set_new(sections, s->name, json_integer((json_int_t)s->number));
+	}
+	if (*edit->text != '\0')
+		json_object_set_new(sections, edit->section, json_integer((json_int_t)number));
+	else
+		json_object_del(sections, edit->section);
+	return json_pack("{s:I,s:s,s:o}", "number", (json_int_t)number, "token", token,
+		"sections", sections);
+}
+
+/* The audit entry of an edit. */
+static json_t *audit_entry(const struct config_edit *edit, uint64_t number, const char *token)
+{
+	AUTOFREE char *when = clock_format_wall(edit->wall_ns);
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:s}", "what",
+		*edit->text != '\0' ? "config.set" : "config.remove", "when", when, "who",
+		edit->who, "section", edit->section, "from", (json_int_t)edit->base, "to",
+		(json_int_t)number, "token", token);
+}
+
+/* Write head, section and audit entry, if the head is still the one that was read. */
+static bool write_edit(struct store *s, const struct config_snapshot *c,
+	const struct config_edit *edit, uint64_t number, const char *token, bool *succeeded,
+	GError **err)
+{
+	json_t *head = next_head(c, edit, number, token);
+	json_t *section =
+		json_pack("{s:I,s:s}", "number", (json_int_t)number, "text", edit->text);
+	json_t *audit = audit_entry(edit, number, token);
+	AUTOFREE char *head_text = json_dumps(head, JSON_COMPACT);
+	AUTOFREE char *section_text = json_dumps(section, JSON_COMPACT);
+	AUTOFREE char *audit_text = json_dumps(audit, JSON_COMPACT);
+	AUTOFREE char *section_key = NULL;
+	AUTOFREE char *audit_key = NULL;
+	AUTOFREE char *old_key = NULL;
+	struct store_compare compare = {HEAD_KEY, STORE_MOD_REVISION, c->head_revision};
+	struct store_op ops[4];
+	struct store_txn txn = {.compares = &compare, .compares_len = 1, .ops = ops};
+	int64_t revision;
+
+	json_decref(head);
+	json_decref(section);
+	json_decref(audit);
+	xasprintf(&section_key, "%s%s", SECTION_PREFIX, edit->section);
+	xasprintf(&audit_key, "%s%010" PRIu64, AUDIT_PREFIX, number);
+	ops[0] = (struct store_op){STORE_PUT, HEAD_KEY, head_text, strlen(head_text), 0};
+	ops[1] = (struct store_op){
+		STORE_PUT, section_key, section_text, strlen(section_text), 0};
+	if (*edit->text == '\0')
+		ops[1] = (struct store_op){.kind = STORE_DELETE, .key = section_key};
+	ops[2] = (struct store_op){STORE_PUT, audit_key, audit_text, strlen(audit_text), 0};
+	txn.ops_len = 3;
+	if (number > AUDIT_KEPT) {
+		xasprintf(&old_key, "%s%010" PRIu64, AUDIT_PREFIX, number - AUDIT_KEPT);
+		ops[3] = (struct store_op){.kind = STORE_DELETE, .key = old_key};
+		txn.ops_len = 4;
+	}
+	return store_run_txn(s, &txn, succeeded, &revision, err);
+}
+
+/* After a lost answer: whether our edit is in the audit trail. */
+static bool read_back(
+	struct store *s, uint64_t number, const char *token, bool *written, GError **err)
+{
+	g_autoptr(GError) why = NULL;
+	AUTOFREE char *key = NULL;
+	const char *found;
+	int64_t revision;
+	json_t *o;
+
+	xasprintf(&key, "%s%010" PRIu64, AUDIT_PREFIX, number);
+	o = read_json(s, key, &revision, &why);
+	if (why != NULL) {
+		error_set(err, ERR_STORE_UNSURE,
+			"the store did not say whether the edit was written: look at config "
+			"history");
+		return false;
+	}
+	found = json_string_value(json_object_get(o, "token"));
+	*written = found != NULL && strcmp(found, token) == 0;
+	json_decref(o);
+	return true;
+}
+
+/* Tell the loser of a race what stands there now. */
+static void set_current(const struct doc_section *now, struct doc_section *current)
+{
+	if (current == NULL)
+		return;
+	current->number = now != NULL ? now->number : 0;
+	current->text = xstrdup(now != NULL ? now->text : "");
+}
+
+/*
+ * Replace one section, made from the version base (0: it is new); empty text removes it.
+ * ERR_CONFLICT: the section is no longer at base, and *current is what it is now. ERR_INVALID:
+ * problems tells. ERR_STORE_UNSURE: it may have been written. Races with edits of other
+ * sections are run again.
+ */
+bool config_put(struct store *s, const struct config_edit *edit, uint64_t *number,
+	struct doc_problems *problems, struct doc_section *current, GError **err)
+{
+	AUTOFREE char *token = random_hex(TOKEN_BYTES);
+	struct config_snapshot c = {0};
+	bool done = false;
+
+	for (int i = 0; i < PUT_TRIES && !done; i++) {
+		g_autoptr(GError) why = NULL;
+		const struct doc_section *now;
+
+		if (!config_load(s, &c, err))
+			break;
+		now = config_find(&c, edit->section);
+		if ((now != NULL ? now->number : 0) != edit->base) {
+			set_current(now, current);
+			error_set(err, ERR_CONFLICT,
+				"section %s was changed by edit %" PRIu64 " since %" PRIu64,
+				edit->section, now != NULL ? now->number : 0, edit->base);
+			break;
+		}
+		if (!check_edit(&c, edit, problems)) {
+			error_set(err, ERR_INVALID, "the section is not valid");
+			break;
+		}
+		*number = c.number + 1;
+		if (write_edit(s, &c, edit, *number, token, &done, &why))
+			continue;
+		if (error_kind_of(why) != ERR_STORE_UNSURE) {
+			g_propagate_error(err, g_steal_pointer(&why));
+			break;
+		}
+		if (!read_back(s, *number, token, &done, err))
+			break;
+	}
+	config_snapshot_clear(&c);
+	if (!done)
+		error_set(err, ERR_OVERLOAD, "too many edits at once");
+	return done;
+}
+
+/* The audit trail of edits, newest last. */
+json_t *config_history(struct store *s, GError **err)
+{
+	struct store_range r;
+	json_t *out;
+
+	if (!store_get_range(s, AUDIT_PREFIX, false, &r, err))
+		return NULL;
+	out = json_array();
+	for (size_t i = 0; i < r.len; i++) {
+		json_t *o = json_loadb(r.kvs[i].value.data, r.kvs[i].value.len, 0, NULL);
+
+		json_object_del(o, "token");
+		json_array_append_new(out, o);
+	}
+	store_range_clear(&r);
+	return out;
+}
+
+/* Parse all sections of a snapshot; NULL where there are problems. */
+struct doc *config_parse(const struct config_snapshot *c)
+{
+	struct doc_problems problems = STAILQ_HEAD_INITIALIZER(problems);
+	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct doc_section));
+	struct doc *d;
+
+	for (guint i = 0; i < c->sections->len; i++)
+		g_array_append_vals(all, c->sections->pdata[i], 1);
+	d = doc_parse_sections((struct doc_section *)all->data, all->len, &problems);
+	d->number = c->number;
+	g_array_unref(all);
+	if (!STAILQ_EMPTY(&problems)) {
+		log_error("config",
+			"The stored configuration %" PRIu64 " is not valid: %s: %s.", c->number,
+			STAILQ_FIRST(&problems)->section, STAILQ_FIRST(&problems)->rule);
+		doc_problems_clear(&problems);
+		doc_free(d);
+		return NULL;
+	}
+	return d;
+}
--- /dev/null
+++ b/packages/state/state.h
@@ -0,0 +1,285 @@
+#ifndef DP_STATE_H
+#define DP_STATE_H
+
+#include "base.h"
+#include "protocol.h"
+#include "transport.h"
+
+#include <jansson.h>
+
+#define STORE_PREFIX	"/damaskpath/"
+#define STORE_VALUE_MAX (1024 * 1024)
+
+/* store.c: the platform's key-value service. All calls block and may come from any thread. */
+struct store_kv {
+	char *key;
+	struct bytes value;
+	int64_t create_revision;
+	int64_t mod_revision;
+	int64_t lease;
+};
+struct store_range {
+	struct store_kv *kvs;
+	size_t len;
+	int64_t revision;
+};
+enum store_target {
+	STORE_CREATE_REVISION,
+	STORE_MOD_REVISION
+};
+/* Holds when the key's revision of the given sort equals revision; 0 means absent. */
+struct store_compare {
+	const char *key;
+	enum store_target target;
+	int64_t revision;
+};
+enum store_op_kind {
+	STORE_PUT,
+	STORE_DELETE
+};
+struct store_op {
+	enum store_op_kind kind;
+	const char *key;
+	const void *value;
+	size_t len;
+	int64_t lease;
+};
+struct store_txn {
+	const struct store_compare *compares;
+	size_t compares_len;
+	const struct store_op *ops;
+	size_t ops_len;
+};
+struct store_event {
+	bool deleted;
+	struct store_kv kv;
+};
+/* Events of one revision; NULL events now and then, to ask whether to go on. */
+typedef bool store_watch_fn(
+	const struct store_event *events, size_t len, int64_t revision, void *arg);
+
+struct store;
+bool store_get_range(
+	struct store *s, const char *prefix, bool exact, struct store_range *out, GError **err);
+bool store_run_txn(struct store *s, const struct store_txn *txn, bool *succeeded,
+	int64_t *revision, GError **err);
+bool store_lease_grant(struct store *s, int64_t ttl_s, int64_t *lease, GError **err);
+bool store_lease_keepalive(struct store *s, int64_t lease, int64_t *ttl_s, GError **err);
+bool store_lease_revoke(struct store *s, int64_t lease, GError **err);
+bool store_watch(struct store *s, const char *prefix, int64_t from_revision, store_watch_fn *fn,
+	void *arg, GError **err);
+void store_free(struct store *s);
+void store_range_clear(struct store_range *r);
+const struct store_kv *store_range_find(const struct store_range *r, const char *key);
+void store_kv_clear(struct store_kv *kv);
+
+/* store-embedded.c */
+struct store *store_embedded_new(const struct clock *clock);
+void store_embedded_expire(struct store *s);
+void store_embedded_compact(struct store *s);
+int64_t store_embedded_revision(struct store *s);
+
+/* store-etcd.c */
+struct store *store_etcd_new(const char *url, int64_t timeout);
+
+/* store-faulty.c: a wrapper that fails calls as a plan says; for tests. */
+enum store_fault {
+	STORE_FAULT_NONE,
+	STORE_FAULT_BEFORE,
+	STORE_FAULT_AFTER
+};
+typedef enum store_fault store_fault_fn(const char *call, void *arg);
+struct store *store_faulty_new(struct store *inner, store_fault_fn *fn, void *arg);
+
+/* store-json.c: the bodies of etcd's v3 JSON protocol, for both ends of it. */
+char *store_json_encode64(const void *data, size_t len);
+bool store_json_decode64(const json_t *text, struct bytes *out);
+int64_t store_json_int(const json_t *v);
+char *store_json_prefix_end(const char *prefix);
+json_t *store_json_kv(const struct store_kv *kv);
+bool store_json_read_kv(const json_t *v, struct store_kv *kv);
+void store_json_set_int(json_t *o, const char *key, int64_t v);
+
+/* document.c: the operators' configuration document. Durations are in nanoseconds. */
+#define DOC_CLASS_PRIORITY_MAX 9
+
+struct doc_where {
+	char *section;
+	int line;
+	int column;
+};
+struct doc_class {
+	char *name;
+	uint32_t priority;
+	bool urgent;
+	int64_t start_within;
+	uint32_t queue_max;
+	STAILQ_ENTRY(doc_class) entry;
+};
+struct doc_guarantee {
+	uint32_t accelerators;
+	enum adjacency adjacency;
+	uint32_t count;
+	struct doc_where where;
+	STAILQ_ENTRY(doc_guarantee) entry;
+};
+struct doc_org {
+	char *name;
+	char *team;
+	char *token_digest;
+	uint32_t quota_accelerators;
+	uint32_t quota_jobs;
+	uint32_t rate_per_second;
+	uint32_t rate_burst;
+	uint32_t index;
+	struct doc_where where;
+	STAILQ_HEAD(, doc_guarantee) guarantees;
+	STAILQ_ENTRY(doc_org) entry;
+};
+struct doc_team {
+	char *name;
+	char *token_digest;
+	STAILQ_ENTRY(doc_team) entry;
+};
+struct doc_cell {
+	char *name;
+	uint32_t workers;
+	uint32_t workers_per_rack;
+	uint32_t accelerators;
+	STAILQ_ENTRY(doc_cell) entry;
+};
+struct doc {
+	uint64_t number;
+	int64_t grace;
+	double weight_completion;
+	uint32_t queue_max;
+	uint32_t payload_max;
+	char *operators_digest;
+	STAILQ_HEAD(, doc_class) classes;
+	STAILQ_HEAD(, doc_cell) cells;
+	STAILQ_HEAD(, doc_team) teams;
+	STAILQ_HEAD(, doc_org) orgs;
+	uint32_t orgs_len;
+};
+
+/*
+ * One section as text: "cluster" or "teams/NAME". number is the edit that wrote it; lines and
+ * columns count from where the text stood in its file.
+ */
+struct doc_section {
+	char *name;
+	char *text;
+	uint64_t number;
+	int first_line;
+	int indent;
+};
+struct doc_problem {
+	char *section;
+	int line;
+	int column;
+	char *key;
+	char *rule;
+	STAILQ_ENTRY(doc_problem) entry;
+};
+STAILQ_HEAD(doc_problems, doc_problem);
+
+struct doc *doc_new(void);
+void doc_free(struct doc *d);
+const struct doc_org *doc_find_org(const struct doc *d, const char *name);
+const struct doc_class *doc_find_class(const struct doc *d, const char *name);
+const struct doc_team *doc_find_team(const struct doc *d, const char *name);
+char *doc_token_digest(const char *token);
+void doc_problem_add(struct doc_problems *list, const char *section, int line, int column,
+	const char *key, const char *fmt, ...) __attribute__((format(printf, 6, 7)));
+void doc_problems_clear(struct doc_problems *list);
+json_t *doc_problems_json(const struct doc_problems *list);
+
+/* document-parse.c */
+struct doc *doc_parse_sections(
+	const struct doc_section *sections, size_t len, struct doc_problems *problems);
+bool doc_split(const char *text, GPtrArray *sections, struct doc_problems *problems);
+void doc_section_free(void *section);
+
+/* shape-pack.c: where a set of shapes fits together. Errs to the side of not finding a place.
+ */
+struct pack_worker {
+	uint32_t rack;
+	uint32_t free;
+};
+struct pack_shape {
+	uint32_t accelerators;
+	enum adjacency adjacency;
+};
+struct pack_piece {
+	uint32_t shape;
+	uint32_t worker;
+	uint32_t accelerators;
+};
+bool pack_one(const struct pack_shape *shape, uint32_t index, struct pack_worker *workers,
+	size_t workers_len, GArray *pieces);
+size_t pack_all(const struct pack_shape *shapes, size_t shapes_len, struct pack_worker *workers,
+	size_t workers_len, GArray *pieces, uint32_t *first_failed);
+
+/* document-check.c */
+void doc_check(const struct doc *d, struct doc_problems *problems);
+
+/* config-store.c: the document in the store, section by section. */
+struct config_snapshot {
+	GPtrArray *sections;
+	int64_t head_revision;
+	uint64_t number;
+};
+struct config_edit {
+	const char *section;
+	const char *text;
+	uint64_t base;
+	const char *who;
+	int64_t wall_ns;
+};
+bool config_load(struct store *s, struct config_snapshot *io, GError **err);
+void config_snapshot_clear(struct config_snapshot *c);
+const struct doc_section *config_find(const struct config_snapshot *c, const char *section);
+bool config_put(struct store *s, const struct config_edit *edit, uint64_t *number,
+	struct doc_problems *problems, struct doc_section *current, GError **err);
+struct doc *config_parse(const struct config_snapshot *c);
+json_t *config_history(struct store *s, GError **err);
+
+/* cell-term.c: the right to coordinate a cell. */
+struct cell_term {
+	uint64_t term;
+	char *addr;
+	char *name;
+	char *roster;
+	int64_t term_revision;
+	bool held;
+	int64_t lease;
+};
+bool cell_term_read(struct store *s, const char *cell, struct cell_term *out, GError **err);
+bool cell_term_take(struct store *s, const char *cell, const char *addr, const char *name,
+	int64_t ttl_s, struct cell_term *io, GError **err);
+bool cell_term_renew(
+	struct store *s, const char *cell, int64_t ttl_s, struct cell_term *io, GError **err);
+bool cell_term_save_roster(struct store *s, const char *cell, struct cell_term *io,
+	const char *roster, GError **err);
+bool cell_term_release(struct store *s, struct cell_term *io, GError **err);
+void cell_term_clear(struct cell_term *t);
+
+/* job-store.c: records of accepted jobs that must outlive the processes. */
+struct job_record {
+	struct job_spec spec;
+	uint32_t attempt;
+	char *placed;
+	struct job_result result;
+	int64_t ended_wall_ms;
+};
+struct job_write {
+	struct job_record record;
+	bool remove;
+};
+extern const struct field_table job_record_fields;
+bool job_store_load(struct store *s, const char *cell, GPtrArray *records, GError **err);
+bool job_store_write(struct store *s, const char *cell, const struct cell_term *term,
+	const struct job_write *writes, size_t len, bool *still_ours, GError **err);
+void job_record_free(void *record);
+
+#endif
--- /dev/null
+++ b/packages/transport/transport.h
@@ -0,0 +1,131 @@
+#ifndef DP_TRANSPORT_H
+#define DP_TRANSPORT_H
+
+#include "base.h"
+
+#define FRAME_BODY_MAX	(8u * 1024 * 1024)
+#define FRAME_MAC_LEN	16
+#define FRAME_HEAD_LEN	(4 + FRAME_MAC_LEN)
+#define FRAME_NONCE_LEN 16
+#define FRAME_KEY_ID	8
+#define FRAME_GREET_LEN (4 + FRAME_KEY_ID + FRAME_NONCE_LEN)
+
+/* net-addr.c */
+bool addr_parse(const char *text, char **host, int *port, GError **err);
+int addr_listen(const char *text, char **bound, GError **err);
+int addr_dial(const char *text, GError **err);
+
+/*
+ * frame.c: length, message authentication code, body. The code covers a counter and the body
+ * under a key made for this connection and direction from the shared key and both nonces, so
+ * a frame can neither be forged, replayed, dropped nor reordered within a connection.
+ */
+struct keyring;
+struct keyring *keyring_parse(const char *text, GError **err);
+void keyring_free(struct keyring *k);
+struct frame_codec;
+struct frame_codec *frame_codec_new(const struct keyring *keys, bool dialler);
+void frame_codec_free(struct frame_codec *c);
+const uint8_t *frame_greeting(struct frame_codec *c, size_t *len);
+bool frame_ready(const struct frame_codec *c);
+void frame_encode(struct frame_codec *c, GByteArray *out, const void *body, size_t len);
+
+/* What frame_decode found at the start of the input. */
+enum frame_result {
+	FRAME_MORE,
+	FRAME_GREETED,
+	FRAME_BODY,
+	FRAME_BAD
+};
+struct frame_view {
+	const uint8_t *body;
+	size_t len;
+	size_t used;
+};
+enum frame_result frame_decode(struct frame_codec *c, const uint8_t *data, size_t len,
+	struct frame_view *out, GError **err);
+
+/*
+ * peer-net.c: framed connections between the system's own processes. Calls and callbacks are
+ * on the loop's thread, except peer_post, which any thread may call.
+ */
+typedef uint64_t peer_id;
+#define PEER_NONE 0
+struct peer_events {
+	void (*opened)(void *arg, peer_id peer, bool dialled);
+	void (*message)(void *arg, peer_id peer, const uint8_t *body, size_t len);
+	void (*closed)(void *arg, peer_id peer, const GError *why);
+	void *arg;
+};
+struct peer_net;
+struct peer_net *peer_net_new(
+	struct loop *l, const struct keyring *keys, const struct peer_events *events);
+void peer_net_free(struct peer_net *n);
+char *peer_listen(struct peer_net *n, const char *addr, GError **err);
+peer_id peer_dial(struct peer_net *n, const char *addr, GError **err);
+bool peer_send(struct peer_net *n, peer_id peer, const void *body, size_t len);
+void peer_post(struct peer_net *n, peer_id peer, struct bytes body);
+void peer_close(struct peer_net *n, peer_id peer);
+
+/* http-server.c: requests are read whole, answered at once or later from any thread. */
+struct http_request;
+struct http_limits {
+	size_t body_max;
+	unsigned int connections_max;
+	unsigned int connections_per_ip;
+	unsigned int idle_timeout_s;
+	unsigned int threads;
+};
+typedef void http_handler(struct http_request *r, void *arg);
+struct http_server;
+struct http_server *http_server_new(const char *addr, const struct http_limits *limits,
+	http_handler *fn, void *arg, GError **err);
+const char *http_server_addr(const struct http_server *s);
+unsigned int http_server_open(const struct http_server *s);
+void http_server_quiesce(struct http_server *s);
+void http_server_free(struct http_server *s);
+const char *http_method(const struct http_request *r);
+const char *http_path(const struct http_request *r);
+const char *http_header(const struct http_request *r, const char *name);
+const char *http_query(const struct http_request *r, const char *name);
+const struct bytes *http_body(const struct http_request *r);
+void http_reply_header(struct http_request *r, const char *name, const char *value);
+void http_reply(
+	struct http_request *r, int status, const char *type, const void *body, size_t len);
+void http_reply_text(struct http_request *r, int status, const char *type, const char *text);
+void http_reply_outcome(struct http_request *r, enum error_kind kind, const char *detail,
+	bool not_run, uint32_t retry_after_s, const char *extra_json);
+void http_reply_problem(struct http_request *r, enum error_kind kind, const char *detail,
+	const char *extra_json);
+void http_reply_error(struct http_request *r, const GError *err);
+
+/* http-client.c */
+struct http_call {
+	char *method;
+	char *url;
+	struct curl_slist *headers;
+	struct bytes body;
+	int64_t timeout;
+	/* The answer: status is 0 and error set where there is none. */
+	int status;
+	struct bytes answer;
+	char *type;
+	GError *error;
+	bool never_sent;
+	/* Called on the client's loop; owns the call from then on. */
+	void (*done)(struct http_call *call, void *arg);
+	void *arg;
+};
+struct http_call *http_call_new(const char *method, const char *url);
+void http_call_header(struct http_call *c, const char *name, const char *value);
+void http_call_free(struct http_call *c);
+void http_call_run(struct http_call *c);
+struct http_client;
+struct http_client *http_client_new(struct loop *l);
+void http_client_free(struct http_client *c);
+void http_client_send(struct http_client *c, struct http_call *call);
+typedef bool http_stream_fn(const char *line, size_t len, void *arg);
+bool http_stream(const char *url, const char *body, int64_t silence_max, http_stream_fn *fn,
+	void *arg, GError **err);
+
+#endif
