sched: charges belong to one guaranteed shape, not to a sum per worker

Cause: properties over random clusters found three faults: a job charged to two workers kept its charge when one was lost; a hold with two pieces on one worker counted as movable; a small claim could break a larger shape of its own organisation, so that the larger one could not be claimed any more (guarantees as sums, not shapes). Ruled out: the packing routine (its own property held from the start). Change: each job is charged to named holds, the smallest that takes it whole; the books are per hold and piece; a hold that loses its place drops its charges. Conclusion: the witness for the guarantees is the set of places, and it is now checked after each event.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,15 @@
 $(BUILD)/standin-%: $(BUILD)/standin/standin-%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+PROP_OBJS = $(patsubst tests/%.cc,$(BUILD)/tests/%.o,$(wildcard tests/property/*.cc))
+
+$(BUILD)/tests/%.o: tests/%.cc
+	@mkdir -p $(@D)
+	@echo "CXX $<"; $(CXX) $(CXXFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/test-properties: $(PROP_OBJS) $(LIB)
+	$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LIBS)
+
 packages:
 	@scripts/packages
 
@@ -42,7 +51,7 @@
 	@$(MAKE) -s -j8 all
 	@scripts/demo
 
-check: all
+check: all $(BUILD)/test-properties
 	@scripts/check
 
 clean:
--- a/packages/coordination/sched-check.c
+++ b/packages/coordination/sched-check.c
@@ -42,11 +42,6 @@
 	char *out = NULL;
 
 	for (uint32_t o = 0; o < s->orgs->len; o++) {
-		if (*org_charged(s, o, at) > *org_held(s, o, at)) {
-			xasprintf(&out, "worker %s: %s is charged more than it holds", w->name,
-				sched_org_at(s, o)->name);
-			return out;
-		}
 		held += org_left(s, o, at);
 	}
 	if (memcmp(&sum->used, &w->used, sizeof(w->used)) != 0 ||
@@ -85,31 +80,49 @@
 	return out;
 }
 
-/* A hold's pieces add up and are close enough together. */
+/* What jobs are charged on a piece of a hold. */
+static uint32_t charged_on(const struct sched *s, const struct sched_hold *h, uint32_t worker)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < s->active->len; i++) {
+		const struct sched_job *j = s->active->pdata[i];
+
+		for (guint k = 0; j->charges != NULL && k < j->charges->len; k++) {
+			const struct sched_charge *c =
+				&g_array_index(j->charges, struct sched_charge, k);
+
+			if (c->hold == h && c->worker == worker)
+				sum += c->accelerators;
+		}
+	}
+	return sum;
+}
+
+/* A hold's pieces add up, are close enough together, and carry what is charged to them. */
 static char *check_hold(const struct sched *s, const struct sched_hold *h)
 {
+	const char *org = sched_org_at(s, h->org)->name;
 	uint32_t sum = 0;
-	uint32_t rack = 0;
-	bool apart = false;
 	char *out = NULL;
 
-	for (guint i = 0; h->placed && i < h->pieces->len; i++) {
-		const struct pack_piece *p = &g_array_index(h->pieces, struct pack_piece, i);
-		const struct pack_piece *first =
-			&g_array_index(h->pieces, struct pack_piece, 0);
+	for (guint i = 0; out == NULL && i < h->pieces->len; i++) {
+		const struct hold_piece *p = hold_piece_at(h, i);
+		const struct sched_worker *w = sched_worker_at(s, p->worker);
+		uint32_t first = hold_piece_at(h, 0)->worker;
 
 		sum += p->accelerators;
-		if (i == 0)
-			rack = sched_worker_at(s, p->worker)->rack;
-		apart = apart ||
-			(h->adjacency == ADJACENCY_WORKER && p->worker != first->worker) ||
+		if ((h->adjacency == ADJACENCY_WORKER && p->worker != first) ||
 			(h->adjacency == ADJACENCY_RACK &&
-				sched_worker_at(s, p->worker)->rack != rack) ||
-			!sched_worker_at(s, p->worker)->up;
+				w->rack != sched_worker_at(s, first)->rack) ||
+			!w->up)
+			xasprintf(&out, "a hold of %s is not close together", org);
+		else if (p->used > p->accelerators || p->used != charged_on(s, h, p->worker))
+			xasprintf(&out, "a hold of %s is charged %u, its jobs say %u", org,
+				p->used, charged_on(s, h, p->worker));
 	}
-	if (h->placed && (sum != h->accelerators || apart))
-		xasprintf(&out, "a hold of %s is not what it promises",
-			sched_org_at(s, h->org)->name);
+	if (out == NULL && h->placed && sum != h->accelerators)
+		xasprintf(&out, "a hold of %s has %u of %u", org, sum, h->accelerators);
 	return out;
 }
 
--- a/packages/coordination/sched-claim.c
+++ b/packages/coordination/sched-claim.c
@@ -116,9 +116,10 @@
 	return res_fits(need, &room);
 }
 
-/* A place for a claim with what it costs to clear it. */
+/* A place for a claim with what it costs to clear it; hold NULL: over several holds. */
 struct claim {
 	struct fit fit;
+	struct sched_hold *hold;
 	GPtrArray *victims;
 	double cost;
 };
@@ -140,15 +141,15 @@
 }
 
 /* Room within the guarantee on the workers of a rack, -1 for all. */
-static uint32_t claim_room(
-	const struct sched *s, int64_t now, const struct sched_job *j, uint32_t w, int rack)
+static uint32_t claim_room(const struct sched *s, int64_t now, const struct sched_job *j,
+	const struct claim *c, uint32_t w, int rack)
 {
 	const struct sched_worker *at = sched_worker_at(s, w);
 
 	if (!at->up || at->draining || (rack >= 0 && at->rack != (uint32_t)rack) ||
 		!health_allows(at, j, now))
 		return 0;
-	return fit_room(s, j, w, FIT_CHARGED);
+	return fit_room(s, j, w, FIT_CHARGED, c->hold);
 }
 
 /* Try to place a claim over the workers of a rack: most room first, the last part tightly. */
@@ -164,7 +165,7 @@
 		int best = -1;
 
 		for (uint32_t w = 0; w < s->workers->len; w++) {
-			uint32_t room = taken[w] ? 0 : claim_room(s, now, j, w, rack);
+			uint32_t room = taken[w] ? 0 : claim_room(s, now, j, c, w, rack);
 			bool better =
 				best < 0 || (best_room < n ? room > best_room
 							   : room >= n && room < best_room);
@@ -186,7 +187,7 @@
 	return ok;
 }
 
-/* Keep the cheaper of two claims in best. */
+/* Keep the cheaper of two claims in best; c is emptied. */
 static void keep_cheaper(struct claim *best, bool *have, struct claim *c, bool ok)
 {
 	if (ok && (!*have || c->cost < best->cost)) {
@@ -201,39 +202,47 @@
 	c->fit.len = 0;
 }
 
-/* Find the cheapest place within the guarantee. */
-static bool find_claim(
-	struct sched *s, int64_t now, const struct sched_job *j, struct claim *best)
+/* Find the cheapest place inside a hold, or over all holds where c->hold is NULL. */
+static void find_in(struct sched *s, int64_t now, const struct sched_job *j, struct claim *c,
+	struct claim *best, bool *have)
 {
-	struct claim c = {.victims = g_ptr_array_new()};
-	bool have = false;
+	bool found = false;
 
 	for (uint32_t w = 0; w < s->workers->len; w++) {
-		if (claim_room(s, now, j, w, -1) < j->accelerators)
+		if (claim_room(s, now, j, c, w, -1) < j->accelerators)
 			continue;
-		keep_cheaper(best, &have, &c, claim_part(s, now, j, &c, w, j->accelerators));
+		found = true;
+		keep_cheaper(best, have, c, claim_part(s, now, j, c, w, j->accelerators));
 	}
-	for (uint32_t r = 0; !have && j->adjacency != ADJACENCY_WORKER && r < s->racks->len;
+	for (uint32_t r = 0; !found && j->adjacency != ADJACENCY_WORKER && r < s->racks->len;
 		r++)
-		keep_cheaper(best, &have, &c, claim_spread(s, now, j, (int)r, &c));
-	if (!have && j->adjacency == ADJACENCY_ANY)
-		keep_cheaper(best, &have, &c, claim_spread(s, now, j, -1, &c));
-	g_ptr_array_unref(c.victims);
-	return have;
+		keep_cheaper(best, have, c, claim_spread(s, now, j, (int)r, c));
+	if (!found && !*have && j->adjacency == ADJACENCY_ANY)
+		keep_cheaper(best, have, c, claim_spread(s, now, j, -1, c));
+}
+
+/* Begin a job where all is free. */
+static void start_at(struct sched *s, int64_t now, struct sched_job *j, const struct fit *f,
+	bool charged, struct sched_hold *hold)
+{
+	j->decision =
+		(struct sched_decision){.why = charged ? SCHED_WHY_GUARANTEE : SCHED_WHY_FREE,
+			.at = now,
+			.considered = f->considered};
+	sched_take(s, j, f, charged, hold, false);
+	sched_begin(s, now, j);
 }
 
-/* Start a job inside its guarantee where all is free. */
-static bool start_free(struct sched *s, int64_t now, struct sched_job *j)
+/* Start a job inside a hold where all is free, moving the hold there if nobody uses it. */
+static bool start_in(struct sched *s, int64_t now, struct sched_job *j, struct sched_hold *h)
 {
 	struct fit f;
 
-	if (!fit_job(s, now, j, FIT_CHARGED_FREE, &f) &&
-		!(plan_move_to_free(s, j) && fit_job(s, now, j, FIT_CHARGED_FREE, &f)))
+	if (!fit_job(s, now, j, FIT_CHARGED_FREE, h, &f) &&
+		!(h != NULL && hold_movable(h) && plan_move_to_free(s, h) &&
+			fit_job(s, now, j, FIT_CHARGED_FREE, h, &f)))
 		return false;
-	j->decision = (struct sched_decision){
-		.why = SCHED_WHY_GUARANTEE, .at = now, .considered = f.considered};
-	sched_take(s, j, &f, true, false);
-	sched_begin(s, now, j);
+	start_at(s, now, j, &f, true, h);
 	return true;
 }
 
@@ -242,53 +251,130 @@
 {
 	struct fit f;
 
-	if (!fit_job(s, now, j, job_stoppable(j) ? FIT_BORROWED : FIT_FIRM, &f))
+	if (!fit_job(s, now, j, job_stoppable(j) ? FIT_BORROWED : FIT_FIRM, NULL, &f))
 		return false;
-	j->decision = (struct sched_decision){
-		.why = SCHED_WHY_FREE, .at = now, .considered = f.considered};
-	sched_take(s, j, &f, false, false);
-	sched_begin(s, now, j);
+	start_at(s, now, j, &f, false, NULL);
+	return true;
+}
+
+/* Take a place from borrowers: they are told to stop, and the job waits for them. */
+static void start_claim(
+	struct sched *s, int64_t now, struct sched_job *j, const struct claim *c)
+{
+	j->decision = (struct sched_decision){.why = SCHED_WHY_CLAIM,
+		.at = now,
+		.victims = c->victims->len,
+		.expected = now + s->grace};
+	queue_remove(s, j);
+	sched_take(s, j, &c->fit, true, c->hold, true);
+	j->state = SCHED_JOB_CLAIMING;
+	j->claim_at = now;
+	s->counts.claims++;
+	for (guint i = 0; i < c->victims->len; i++) {
+		struct sched_job *v = c->victims->pdata[i];
+
+		if (v->state != SCHED_JOB_STOPPING)
+			sched_order_stop(s, v, v->checkpoint ? STOP_CHECKPOINT : STOP_NOW,
+				SCHED_STOP_PREEMPTED);
+	}
+}
+
+/* The least unused first, then the widest adjacency. */
+static int compare_holds(const void *a, const void *b)
+{
+	const struct sched_hold *x = *(struct sched_hold *const *)a;
+	const struct sched_hold *y = *(struct sched_hold *const *)b;
+
+	if (hold_left(x) != hold_left(y))
+		return hold_left(x) < hold_left(y) ? -1 : 1;
+	return x->adjacency < y->adjacency ? -1 : x->adjacency > y->adjacency;
+}
+
+/* The organisation's holds with room for a job, the smallest first. */
+static GPtrArray *list_holds(const struct sched *s, const struct sched_job *j)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (guint i = 0; i < s->holds->len; i++) {
+		struct sched_hold *h = s->holds->pdata[i];
+
+		if (h->org == j->org && h->placed && hold_left(h) >= j->accelerators)
+			g_ptr_array_add(list, h);
+	}
+	g_ptr_array_sort(list, compare_holds);
+	return list;
+}
+
+/* The end of the run of holds that are as good as the one at from. */
+static guint run_end(const GPtrArray *list, guint from)
+{
+	guint to = from + 1;
+
+	while (to < list->len && compare_holds(&list->pdata[from], &list->pdata[to]) == 0)
+		to++;
+	return to;
+}
+
+/* Finish a search: use the place that was found, if there is one. */
+static bool use_claim(
+	struct sched *s, int64_t now, struct sched_job *j, const struct claim *best, bool have)
+{
+	if (!have)
+		return false;
+	if (!start_beside(s, now, j))
+		start_claim(s, now, j, best);
 	return true;
 }
 
+/* Try the smallest holds that take the job whole; larger shapes stay whole for later. */
+static bool claim_in_holds(
+	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
+{
+	g_autoptr(GPtrArray) list = list_holds(s, j);
+	struct claim c = {.victims = g_ptr_array_new()};
+	bool started = false;
+
+	for (guint from = 0, to; !started && from < list->len; from = to) {
+		bool have = false;
+
+		to = run_end(list, from);
+		for (guint i = from; !started && i < to; i++)
+			started = start_in(s, now, j, list->pdata[i]);
+		for (guint i = from; !started && i < to; i++) {
+			c.hold = list->pdata[i];
+			find_in(s, now, j, &c, best, &have);
+		}
+		started = started || use_claim(s, now, j, best, have);
+	}
+	g_ptr_array_unref(c.victims);
+	return started;
+}
+
+/* Try all holds together, for a job that is larger than what any one has left. */
+static bool claim_over_holds(
+	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
+{
+	struct claim c = {.victims = g_ptr_array_new()};
+	bool have = false;
+	bool started = start_in(s, now, j, NULL);
+
+	if (!started)
+		find_in(s, now, j, &c, best, &have);
+	g_ptr_array_unref(c.victims);
+	return started || use_claim(s, now, j, best, have);
+}
+
 /*
  * Start a job by its organisation's guarantee: on free capacity if there is any, else by
  * stopping borrowers. False where the guarantee has no room for it.
  */
 bool claim_start(struct sched *s, int64_t now, struct sched_job *j)
 {
-	struct claim c = {.victims = NULL};
-	bool found;
-
-	if (start_free(s, now, j))
-		return true;
-	c.victims = g_ptr_array_new();
-	found = find_claim(s, now, j, &c);
-	if (found && start_beside(s, now, j)) {
-		g_ptr_array_unref(c.victims);
-		return true;
-	}
-	if (found) {
-		j->decision = (struct sched_decision){.why = SCHED_WHY_CLAIM,
-			.at = now,
-			.victims = c.victims->len,
-			.expected = now + s->grace};
-		sched_take(s, j, &c.fit, true, true);
-		queue_remove(s, j);
-		j->state = SCHED_JOB_CLAIMING;
-		j->claim_at = now;
-		s->counts.claims++;
-		for (guint i = 0; i < c.victims->len; i++) {
-			struct sched_job *v = c.victims->pdata[i];
-
-			if (v->state != SCHED_JOB_STOPPING)
-				sched_order_stop(s, v,
-					v->checkpoint ? STOP_CHECKPOINT : STOP_NOW,
-					SCHED_STOP_PREEMPTED);
-		}
-	}
-	g_ptr_array_unref(c.victims);
-	return found;
+	struct claim best = {.victims = g_ptr_array_new()};
+	bool started = claim_in_holds(s, now, j, &best) || claim_over_holds(s, now, j, &best);
+
+	g_ptr_array_unref(best.victims);
+	return started;
 }
 
 /* Whether all that a claim needs is free. */
--- a/packages/coordination/sched-fit.c
+++ b/packages/coordination/sched-fit.c
@@ -51,9 +51,19 @@
 	       now + j->estimate > w->reserved_until;
 }
 
-/* How many of a job's accelerators a worker can take now, in one of the modes. */
-uint32_t fit_room(
-	const struct sched *s, const struct sched_job *j, uint32_t worker, enum fit_mode mode)
+/* What is left on a worker of one hold, or of all of the organisation's. */
+static uint32_t left_on(const struct sched *s, const struct sched_job *j, uint32_t worker,
+	const struct sched_hold *hold)
+{
+	return hold != NULL ? hold_left_on(hold, worker) : org_left(s, j->org, worker);
+}
+
+/*
+ * How many of a job's accelerators a worker can take now, in one of the modes; the charged
+ * modes look at one hold, or at all of the organisation's where hold is NULL.
+ */
+uint32_t fit_room(const struct sched *s, const struct sched_job *j, uint32_t worker,
+	enum fit_mode mode, const struct sched_hold *hold)
 {
 	const struct sched_worker *w = sched_worker_at(s, worker);
 	struct sched_res room = worker_free(w);
@@ -62,10 +72,10 @@
 
 	switch (mode) {
 	case FIT_CHARGED_FREE:
-		left = MIN(org_left(s, j->org, worker), j->accelerators);
+		left = MIN(left_on(s, j, worker, hold), j->accelerators);
 		return left == 0 ? 0 : chargeable_count(w, j, MIN(left, room_count(j, &room)));
 	case FIT_CHARGED:
-		left = MIN(org_left(s, j->org, worker), j->accelerators);
+		left = MIN(left_on(s, j, worker, hold), j->accelerators);
 		return left == 0 ? 0 : chargeable_count(w, j, left);
 	case FIT_FIRM:
 		firm = worker_firm_room(w);
@@ -132,7 +142,7 @@
 
 /* Prepare a search; false where the job cannot fit at all. */
 static bool search_init(struct sched *s, int64_t now, const struct sched_job *j,
-	enum fit_mode mode, struct search *f, struct fit *out)
+	enum fit_mode mode, const struct sched_hold *hold, struct search *f, struct fit *out)
 {
 	uint32_t total = 0;
 
@@ -150,7 +160,7 @@
 		if (mode != FIT_CHARGED && mode != FIT_CHARGED_FREE &&
 			delays_reservation(w, j, now))
 			continue;
-		f->room[i] = fit_room(s, j, i, mode);
+		f->room[i] = fit_room(s, j, i, mode, hold);
 		f->rack_room[w->rack] += f->room[i];
 		total += f->room[i];
 		out->considered++;
@@ -259,7 +269,7 @@
 
 /* Find a place for a job. */
 bool fit_job(struct sched *s, int64_t now, const struct sched_job *j, enum fit_mode mode,
-	struct fit *out)
+	const struct sched_hold *hold, struct fit *out)
 {
 	struct search f;
 	bool ok = false;
@@ -267,7 +277,7 @@
 	int rack;
 
 	memset(out, 0, sizeof(*out));
-	if (!search_init(s, now, j, mode, &f, out)) {
+	if (!search_init(s, now, j, mode, hold, &f, out)) {
 		search_clear(&f);
 		return false;
 	}
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -22,6 +22,20 @@
 	GArray *pieces;
 };
 
+/* Accelerators of a hold on one worker, and how many of them jobs are charged. */
+struct hold_piece {
+	uint32_t worker;
+	uint32_t accelerators;
+	uint32_t used;
+};
+
+/* Accelerators of a job that count against a hold. */
+struct sched_charge {
+	struct sched_hold *hold;
+	uint32_t worker;
+	uint32_t accelerators;
+};
+
 struct sched_rack {
 	char *name;
 };
@@ -66,8 +80,7 @@
 	uint32_t guaranteed;
 	uint32_t running_accelerators;
 	uint32_t jobs;
-	GArray *held;
-	GArray *charged;
+	GArray *left;
 	GTree *queue;
 	GHashTable *class_queued;
 };
@@ -119,17 +132,28 @@
 struct sched_res worker_firm_room(const struct sched_worker *w);
 uint32_t room_count(const struct sched_job *j, const struct sched_res *room);
 
-/* sched-plan.c: places for guaranteed shapes. */
-uint32_t *org_held(const struct sched *s, uint32_t org, uint32_t worker);
-uint32_t *org_charged(const struct sched *s, uint32_t org, uint32_t worker);
+/* sched-hold.c: the books of guaranteed shapes. */
 uint32_t org_left(const struct sched *s, uint32_t org, uint32_t worker);
+struct sched_hold *hold_new(uint32_t org, const struct doc_guarantee *g);
+void hold_free(void *p);
+struct hold_piece *hold_piece_at(const struct sched_hold *h, guint i);
+uint32_t hold_left_on(const struct sched_hold *h, uint32_t worker);
+uint32_t hold_left(const struct sched_hold *h);
+bool hold_movable(const struct sched_hold *h);
+bool hold_is_on(const struct sched_hold *h, uint32_t worker);
+void hold_put(struct sched *s, struct sched_hold *h, const GArray *pieces);
+void hold_lift(struct sched *s, struct sched_hold *h);
+void hold_charge(struct sched *s, struct sched_job *j, struct sched_hold *first);
+void hold_uncharge(struct sched *s, struct sched_job *j);
+void hold_drop_charges(struct sched *s, struct sched_hold *h);
+
+/* sched-plan.c: places for guaranteed shapes. */
 void plan_set_holds(struct sched *s, int64_t now, const struct doc *d);
 void plan_drop_worker(struct sched *s, int64_t now, uint32_t worker);
 void plan_place(struct sched *s, int64_t now);
-bool plan_move_to_free(struct sched *s, const struct sched_job *j);
+bool plan_move_to_free(struct sched *s, struct sched_hold *h);
 void plan_cover_running(struct sched *s);
 void plan_lift_overfull(struct sched *s);
-void hold_free(void *p);
 
 /* sched-fit.c: where a job fits. */
 enum fit_mode {
@@ -145,10 +169,10 @@
 	uint32_t largest;
 };
 bool job_stoppable(const struct sched_job *j);
-uint32_t fit_room(
-	const struct sched *s, const struct sched_job *j, uint32_t worker, enum fit_mode mode);
+uint32_t fit_room(const struct sched *s, const struct sched_job *j, uint32_t worker,
+	enum fit_mode mode, const struct sched_hold *hold);
 bool fit_job(struct sched *s, int64_t now, const struct sched_job *j, enum fit_mode mode,
-	struct fit *out);
+	const struct sched_hold *hold, struct fit *out);
 double fit_fragmentation(const struct sched *s);
 
 /* sched-claim.c */
@@ -173,8 +197,8 @@
 bool health_job_is_bad(const struct sched_job *j);
 
 /* sched.c */
-void sched_take(
-	struct sched *s, struct sched_job *j, const struct fit *f, bool charged, bool pending);
+void sched_take(struct sched *s, struct sched_job *j, const struct fit *f, bool charged,
+	struct sched_hold *hold, bool pending);
 void sched_give_back(struct sched *s, struct sched_job *j);
 void sched_begin(struct sched *s, int64_t now, struct sched_job *j);
 void sched_order_stop(
--- a/packages/coordination/sched-queue.c
+++ b/packages/coordination/sched-queue.c
@@ -208,7 +208,7 @@
 
 		if (at->up && !at->draining && !at->quarantined &&
 			at->reserved_for == JOB_REF_NONE)
-			room[w] = fit_room(s, j, w, mode);
+			room[w] = fit_room(s, j, w, mode, NULL);
 	}
 	for (guint i = 0; !found && i < endings->len; i++) {
 		const struct ending *e = &g_array_index(endings, struct ending, i);
@@ -251,12 +251,12 @@
 	bool firm = s->policy == SCHED_POLICY_FULL && !job_stoppable(j);
 	struct fit f;
 
-	if (fit_job(s, now, j, firm ? FIT_FIRM : FIT_BORROWED, &f)) {
+	if (fit_job(s, now, j, firm ? FIT_FIRM : FIT_BORROWED, NULL, &f)) {
 		j->decision = (struct sched_decision){
 			.why = behind ? SCHED_WHY_BACKFILL : SCHED_WHY_FREE,
 			.at = now,
 			.considered = f.considered};
-		sched_take(s, j, &f, false, false);
+		sched_take(s, j, &f, false, NULL, false);
 		sched_begin(s, now, j);
 		return true;
 	}
--- a/packages/coordination/sched-view.c
+++ b/packages/coordination/sched-view.c
@@ -77,8 +77,12 @@
 	memset(out, 0, sizeof(*out));
 	out->name = o->name;
 	out->guaranteed = o->guaranteed;
-	for (uint32_t i = 0; i < s->workers->len; i++)
-		out->used_guaranteed += *org_charged(s, org, i);
+	for (guint i = 0; i < s->holds->len; i++) {
+		const struct sched_hold *h = s->holds->pdata[i];
+
+		if (h->org == org && h->placed)
+			out->used_guaranteed += h->accelerators - hold_left(h);
+	}
 	out->borrowed = o->running_accelerators - out->used_guaranteed;
 	out->lent = lent_by(s, org);
 	for (guint i = 0; i < s->holds->len; i++) {
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -26,8 +26,7 @@
 	struct sched_org *o = p;
 
 	free(o->name);
-	g_array_unref(o->held);
-	g_array_unref(o->charged);
+	g_array_unref(o->left);
 	g_tree_destroy(o->queue);
 	g_hash_table_destroy(o->class_queued);
 	free(o);
@@ -38,6 +37,8 @@
 {
 	if (j == NULL)
 		return;
+	if (j->charges != NULL)
+		g_array_unref(j->charges);
 	free(j->id);
 	free(j->kind);
 	free(j);
@@ -109,8 +110,7 @@
 	}
 	o = xcalloc(1, sizeof(*o));
 	o->name = xstrdup(name);
-	o->held = g_array_new(FALSE, TRUE, sizeof(uint32_t));
-	o->charged = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	o->left = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	o->queue = g_tree_new_full(queue_compare, NULL, NULL, NULL);
 	o->class_queued = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g_ptr_array_add(s->orgs, o);
@@ -242,15 +242,17 @@
 	s->dirty = true;
 }
 
-/* Enter a job's members. pending: it waits for borrowers to leave. */
-void sched_take(
-	struct sched *s, struct sched_job *j, const struct fit *f, bool charged, bool pending)
+/*
+ * Enter a job's members. charged: they count against guarantees, the given hold first.
+ * pending: the job waits for borrowers to leave.
+ */
+void sched_take(struct sched *s, struct sched_job *j, const struct fit *f, bool charged,
+	struct sched_hold *hold, bool pending)
 {
 	bool firm = charged || !job_stoppable(j);
 
 	memcpy(j->members, f->members, f->len * sizeof(f->members[0]));
 	j->members_len = f->len;
-	j->charged = charged;
 	for (uint32_t i = 0; i < j->members_len; i++) {
 		struct sched_member *m = &j->members[i];
 		struct sched_worker *w = sched_worker_at(s, m->worker);
@@ -258,15 +260,13 @@
 		res_add(pending ? &w->pending : &w->used, &m->need);
 		if (firm)
 			res_add(&w->firm, &m->need);
-		if (charged) {
-			*org_charged(s, j->org, m->worker) += m->accelerators;
-			w->held -= m->accelerators;
-		}
 		w->jobs++;
 		if (w->quarantined)
 			w->probing = true;
 		sched_org_at(s, j->org)->running_accelerators += m->accelerators;
 	}
+	if (charged)
+		hold_charge(s, j, hold);
 	g_ptr_array_add(s->active, j);
 }
 
@@ -283,18 +283,14 @@
 		res_sub(pending ? &w->pending : &w->used, &m->need);
 		if (firm)
 			res_sub(&w->firm, &m->need);
-		if (j->charged) {
-			*org_charged(s, j->org, m->worker) -= m->accelerators;
-			w->held += m->accelerators;
-		}
 		w->jobs--;
 		if (w->jobs == 0)
 			w->probing = false;
 		sched_org_at(s, j->org)->running_accelerators -= m->accelerators;
 	}
+	hold_uncharge(s, j);
 	g_ptr_array_remove_fast(s->active, j);
 	j->members_len = 0;
-	j->charged = false;
 	s->dirty = true;
 }
 
@@ -527,7 +523,7 @@
 	j->placed_at = j->started_at;
 	j->state = SCHED_JOB_RUNNING;
 	j->decision = (struct sched_decision){.why = SCHED_WHY_FREE, .at = now};
-	sched_take(s, j, &f, false, false);
+	sched_take(s, j, &f, false, NULL, false);
 	for (uint32_t i = 0; i < len; i++)
 		found += members[i].accelerators;
 	j->partial = found < j->accelerators;
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -124,6 +124,7 @@
 	int64_t claim_at;
 	int64_t saved;
 	bool charged;
+	GArray *charges;
 	bool may_run;
 	bool partial;
 	struct sched_member members[SCHED_MEMBERS_MAX];
