--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,12 @@
 $(BUILD)/standin-%: $(BUILD)/standin/standin-%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/bench-%: $(BUILD)/bench/bench-%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+bench-policy: $(BUILD)/bench-policy
+	@$(BUILD)/bench-policy
+
 PROP_OBJS = $(patsubst tests/%.cc,$(BUILD)/tests/%.o,$(wildcard tests/property/*.cc))
 
 $(BUILD)/tests/%.o: tests/%.cc
@@ -59,4 +65,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all packages demo check clean
+.PHONY: all bench-policy packages demo check clean
--- a/packages/coordination/sched-fit.c
+++ b/packages/coordination/sched-fit.c
@@ -6,12 +6,14 @@
 /*
  * Fragmentation is measured as in Weng et al., "Beware of Fragmentation: Scheduling
  * GPU-Sharing Workloads with Fragmentation Gradient Descent" (USENIX ATC 2023): the expected
- * share of free accelerators that a job drawn from the workload cannot use. We extend it from
- * nodes to racks: a shape within a worker finds a worker's free accelerators useless where
- * they are too few, a shape within a rack those of a rack. A placement is chosen by the least
- * growth of this measure.
+ * share of free accelerators that a job drawn from the workload cannot use; jobs are weighed by
+ * the accelerators that they ask for. We extend it from nodes to racks: a shape within a worker
+ * finds a worker's free accelerators useless where they are too few, a shape within a rack
+ * those of a rack. A placement is chosen by the least growth of this measure.
  */
 
+#define SHAPES_KEPT 20000
+
 /* Whether a running job may be stopped for the benefit of another. */
 bool job_stoppable(const struct sched_job *j)
 {
@@ -87,19 +89,45 @@
 	return 0;
 }
 
-/* The part of jobs of an adjacency that need more than n accelerators. */
-static double part_above(const struct sched *s, enum adjacency a, uint32_t n)
+/* Halve all counts once they are many, so that older jobs fade. */
+static void fade_shapes(struct sched *s, uint32_t sum)
+{
+	for (int a = 0; sum > SHAPES_KEPT && a < 3; a++) {
+		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
+			s->shape_counts[a][n] /= 2;
+	}
+}
+
+/*
+ * Count the accelerators that a job asks for under its shape, and work out for each adjacency
+ * and n which part of all the demand is for shapes of more than n.
+ */
+void fit_count_shape(struct sched *s, const struct sched_job *j)
 {
-	double all = 0;
-	double above = 0;
-
-	for (uint32_t k = 1; k <= JOB_ACCELERATORS_MAX; k++) {
-		for (int i = 0; i < 3; i++)
-			all += s->shape_counts[i][k];
-		if (k > n)
-			above += s->shape_counts[a][k];
+	uint32_t sum = 0;
+
+	if (j->accelerators == 0)
+		return;
+	s->shape_counts[j->adjacency][j->accelerators] += j->accelerators;
+	for (int a = 0; a < 3; a++) {
+		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
+			sum += s->shape_counts[a][n];
 	}
-	return all > 0 ? above / all : 0;
+	for (int a = 0; a < 3; a++) {
+		double above = 0;
+
+		for (uint32_t n = JOB_ACCELERATORS_MAX + 1; n-- > 0;) {
+			s->shape_above[a][n] = above / sum;
+			above += s->shape_counts[a][n];
+		}
+	}
+	fade_shapes(s, sum);
+}
+
+/* The part of the demand with an adjacency that needs more than n accelerators. */
+static double part_above(const struct sched *s, enum adjacency a, uint32_t n)
+{
+	return n > JOB_ACCELERATORS_MAX ? 0 : s->shape_above[a][n];
 }
 
 /* Useless accelerators among the free ones of a worker, then of a rack. */
@@ -121,12 +149,11 @@
 	return w->up && r.accelerators > 0 ? (uint32_t)r.accelerators : 0;
 }
 
-/* What a search works with; waste_at caches worker_waste. */
+/* What a search works with. */
 struct search {
 	uint32_t *room;
 	uint32_t *rack_room;
 	uint32_t *rack_free;
-	double waste_at[JOB_ACCELERATORS_MAX + 1];
 };
 
 /* The growth of the measure when n accelerators of a worker are taken. */
@@ -135,7 +162,7 @@
 {
 	uint32_t have = MIN(free_count(w), JOB_ACCELERATORS_MAX);
 	uint32_t in_rack = f->rack_free[w->rack];
-	double growth = f->waste_at[have - MIN(n, have)] - f->waste_at[have];
+	double growth = worker_waste(s, have - MIN(n, have)) - worker_waste(s, have);
 
 	return growth + rack_waste(s, in_rack - MIN(n, in_rack)) - rack_waste(s, in_rack);
 }
@@ -166,8 +193,6 @@
 		out->considered++;
 		out->largest = MAX(out->largest, f->room[i]);
 	}
-	for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
-		f->waste_at[n] = worker_waste(s, n);
 	return total >= MAX(j->accelerators, 1);
 }
 
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -110,6 +110,7 @@
 	uint64_t sequence;
 	struct sched_counts counts;
 	uint32_t shape_counts[3][JOB_ACCELERATORS_MAX + 1];
+	double shape_above[3][JOB_ACCELERATORS_MAX + 1];
 };
 
 static inline struct sched_worker *sched_worker_at(const struct sched *s, uint32_t i)
@@ -174,6 +175,7 @@
 bool fit_job(struct sched *s, int64_t now, const struct sched_job *j, enum fit_mode mode,
 	const struct sched_hold *hold, struct fit *out);
 double fit_fragmentation(const struct sched *s);
+void fit_count_shape(struct sched *s, const struct sched_job *j);
 
 /* sched-claim.c */
 bool claim_start(struct sched *s, int64_t now, struct sched_job *j);
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -473,24 +473,6 @@
 	return false;
 }
 
-/* Count the shape of a job for the measure of fragmentation; older ones fade. */
-static void count_shape(struct sched *s, const struct sched_job *j)
-{
-	uint32_t sum = 0;
-
-	if (j->accelerators == 0)
-		return;
-	s->shape_counts[j->adjacency][MIN(j->accelerators, JOB_ACCELERATORS_MAX)]++;
-	for (int a = 0; a < 3; a++) {
-		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
-			sum += s->shape_counts[a][n];
-	}
-	for (int a = 0; sum > SHAPES_KEPT && a < 3; a++) {
-		for (uint32_t n = 0; n <= JOB_ACCELERATORS_MAX; n++)
-			s->shape_counts[a][n] /= 2;
-	}
-}
-
 /* A new job. It may be ended at once by an action. */
 job_ref sched_submit(struct sched *s, int64_t now, const struct job_spec *spec, void *owner)
 {
@@ -499,7 +481,7 @@
 	j->state = SCHED_JOB_STOPPING;
 	if (!admit(s, j))
 		return j->ref;
-	count_shape(s, j);
+	fit_count_shape(s, j);
 	j->decision = (struct sched_decision){.why = SCHED_WHY_NEW, .at = now};
 	queue_add(s, now, j);
 	return j->ref;
