sched: claims go by arrival, and holds leave workers that take no work

Holds also stayed on quarantined and draining workers, where their owner could not use them. Change: a separate order by arrival for claims; unused holds move away from workers that take nothing.

--- a/packages/coordination/sched-plan.c
+++ b/packages/coordination/sched-plan.c
@@ -253,6 +253,37 @@
 	plan_place(s, now);
 }
 
+/* Whether a hold keeps accelerators where its owner could not use them now. */
+static bool is_misplaced(const struct sched *s, const struct sched_hold *h)
+{
+	for (guint i = 0; i < h->pieces->len; i++) {
+		const struct sched_worker *w =
+			sched_worker_at(s, hold_piece_at(h, i)->worker);
+
+		if (w->draining || w->quarantined || w->restricted)
+			return true;
+	}
+	return false;
+}
+
+/* Move the unused holds away from workers that take no work, where there is room elsewhere. */
+void plan_avoid_unfit(struct sched *s)
+{
+	for (guint i = 0; i < s->holds->len; i++) {
+		struct sched_hold *h = s->holds->pdata[i];
+		g_autoptr(GArray) old = NULL;
+		g_autoptr(GArray) rooms = NULL;
+
+		if (!hold_movable(h) || !is_misplaced(s, h))
+			continue;
+		old = save_place(h);
+		hold_lift(s, h);
+		rooms = hold_rooms(s);
+		if (!place_hold(s, h, rooms))
+			hold_put(s, h, old);
+	}
+}
+
 /* A worker is gone: its holds need new places. */
 void plan_drop_worker(struct sched *s, int64_t now, uint32_t worker)
 {
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -153,6 +153,7 @@
 void plan_drop_worker(struct sched *s, int64_t now, uint32_t worker);
 void plan_place(struct sched *s, int64_t now);
 bool plan_move_to_free(struct sched *s, struct sched_hold *h);
+void plan_avoid_unfit(struct sched *s);
 void plan_cover_running(struct sched *s);
 void plan_lift_overfull(struct sched *s);
 
@@ -183,6 +184,7 @@
 
 /* sched-queue.c */
 int queue_compare(const void *a, const void *b, void *arg);
+int queue_compare_claims(const void *a, const void *b, void *arg);
 void queue_add(struct sched *s, int64_t now, struct sched_job *j);
 void queue_remove(struct sched *s, struct sched_job *j);
 void queue_pass(struct sched *s, int64_t now);
--- a/packages/coordination/sched-queue.c
+++ b/packages/coordination/sched-queue.c
@@ -32,6 +32,25 @@
 	return 0;
 }
 
+/*
+ * Compare two jobs of one organisation for its guarantee: by arrival, so that a job for which
+ * there was room when it came is not overtaken.
+ */
+int queue_compare_claims(const void *a, const void *b, void *arg)
+{
+	const struct sched_job *x = a;
+	const struct sched_job *y = b;
+
+	(void)arg;
+	if (x->urgent != y->urgent)
+		return x->urgent ? -1 : 1;
+	if (x->submitted != y->submitted)
+		return x->submitted < y->submitted ? -1 : 1;
+	if (x->sequence != y->sequence)
+		return x->sequence < y->sequence ? -1 : 1;
+	return 0;
+}
+
 /* The key of a job in the order. */
 static int64_t queue_key(const struct sched *s, const struct sched_job *j)
 {
@@ -313,6 +332,7 @@
 	if (s->policy == SCHED_POLICY_FULL) {
 		clear_reservations(s);
 		plan_place(s, now);
+		plan_avoid_unfit(s);
 		claim_finish(s, now);
 		for (uint32_t o = 0; o < s->orgs->len; o++)
 			claim_org(s, now, o);
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -111,7 +111,7 @@
 	o = xcalloc(1, sizeof(*o));
 	o->name = xstrdup(name);
 	o->left = g_array_new(FALSE, TRUE, sizeof(uint32_t));
-	o->queue = g_tree_new_full(queue_compare, NULL, NULL, NULL);
+	o->queue = g_tree_new_full(queue_compare_claims, NULL, NULL, NULL);
 	o->class_queued = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g_ptr_array_add(s->orgs, o);
 	return s->orgs->len - 1;
