--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,15 @@
 bench-policy: $(BUILD)/bench-policy
 	@$(BUILD)/bench-policy
 
+SCEN_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/scenario/*.c))
+
+$(BUILD)/tests/%.o: tests/%.c
+	@mkdir -p $(@D)
+	@echo "CC $<"; $(CC) $(CFLAGS) $(WARN) -MMD -c -o $@ $<
+
+$(BUILD)/run-scenario: $(SCEN_OBJS) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 PROP_OBJS = $(patsubst tests/%.cc,$(BUILD)/tests/%.o,$(wildcard tests/property/*.cc))
 
 $(BUILD)/tests/%.o: tests/%.cc
--- a/packages/coordination/sched-hold.c
+++ b/packages/coordination/sched-hold.c
@@ -145,6 +145,19 @@
 	return part;
 }
 
+/* Charge all of a hold to a job that covers it. */
+void hold_charge_all(struct sched *s, struct sched_job *j, struct sched_hold *h)
+{
+	if (j->charges == NULL)
+		j->charges = g_array_new(FALSE, TRUE, sizeof(struct sched_charge));
+	for (guint i = 0; i < h->pieces->len; i++) {
+		const struct hold_piece *p = hold_piece_at(h, i);
+
+		charge_some(s, j, h, p->worker, p->accelerators);
+	}
+	j->charged = true;
+}
+
 /* The hold of a job's organisation on a worker with the least unused; NULL for none. */
 static struct sched_hold *smallest_on(
 	const struct sched *s, const struct sched_job *j, uint32_t worker)
--- a/packages/coordination/sched-plan.c
+++ b/packages/coordination/sched-plan.c
@@ -108,39 +108,104 @@
 	return x->org < y->org ? -1 : x->org > y->org;
 }
 
-/* Lift each hold that nobody uses and put all back in a better order, if more find a place. */
-static void repack(struct sched *s)
+/* Holds that were lifted together, with the places to go back to. */
+struct lifted {
+	GPtrArray *holds;
+	GPtrArray *places;
+};
+
+/* Lift all holds that nobody uses. */
+static struct lifted lift_unused(struct sched *s)
 {
-	uint32_t before = count_unplaced(s);
-	g_autoptr(GPtrArray) lifted = g_ptr_array_new();
-	g_autoptr(GPtrArray) saved =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
-	g_autoptr(GArray) rooms = NULL;
+	struct lifted l = {g_ptr_array_new(),
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref)};
 
 	for (guint i = 0; i < s->holds->len; i++) {
 		struct sched_hold *h = s->holds->pdata[i];
 
 		if (!h->placed || hold_movable(h))
-			g_ptr_array_add(lifted, h);
+			g_ptr_array_add(l.holds, h);
 	}
-	g_ptr_array_sort(lifted, compare_holds);
-	for (guint i = 0; i < lifted->len; i++) {
-		g_ptr_array_add(saved, save_place(lifted->pdata[i]));
-		hold_lift(s, lifted->pdata[i]);
+	g_ptr_array_sort(l.holds, compare_holds);
+	for (guint i = 0; i < l.holds->len; i++) {
+		g_ptr_array_add(l.places, save_place(l.holds->pdata[i]));
+		hold_lift(s, l.holds->pdata[i]);
 	}
-	rooms = hold_rooms(s);
-	for (guint i = 0; i < lifted->len; i++)
-		place_hold(s, lifted->pdata[i], rooms);
-	if (count_unplaced(s) <= before)
-		return;
-	for (guint i = 0; i < lifted->len; i++)
-		hold_lift(s, lifted->pdata[i]);
-	for (guint i = 0; i < lifted->len; i++) {
-		GArray *old = saved->pdata[i];
+	return l;
+}
+
+/* Find new places for lifted holds. */
+static void place_lifted(struct sched *s, const struct lifted *l)
+{
+	g_autoptr(GArray) rooms = hold_rooms(s);
+
+	for (guint i = 0; i < l->holds->len; i++) {
+		struct sched_hold *h = l->holds->pdata[i];
+
+		if (!h->placed)
+			place_hold(s, h, rooms);
+	}
+}
+
+/* Put lifted holds back where they were. */
+static void restore_lifted(struct sched *s, const struct lifted *l)
+{
+	for (guint i = 0; i < l->holds->len; i++)
+		hold_lift(s, l->holds->pdata[i]);
+	for (guint i = 0; i < l->holds->len; i++) {
+		GArray *old = l->places->pdata[i];
 
 		if (old->len > 0)
-			hold_put(s, lifted->pdata[i], old);
+			hold_put(s, l->holds->pdata[i], old);
+	}
+}
+
+static void lifted_clear(struct lifted *l)
+{
+	g_ptr_array_unref(l->holds);
+	g_ptr_array_unref(l->places);
+}
+
+/* Put all unused holds to places in a better order, if more of them find one. */
+static void repack(struct sched *s)
+{
+	uint32_t before = count_unplaced(s);
+	struct lifted l = lift_unused(s);
+
+	place_lifted(s, &l);
+	if (count_unplaced(s) > before)
+		restore_lifted(s, &l);
+	lifted_clear(&l);
+}
+
+static void cover_by_any(struct sched *s, struct sched_job *j);
+
+/*
+ * Enter a job that cannot be stopped where unused holds are in its way, if these find other
+ * places; one of its own organisation's may come to lie around it. False, and nothing changed,
+ * where they do not.
+ */
+bool plan_take_around(struct sched *s, int64_t now, struct sched_job *j)
+{
+	uint32_t before = count_unplaced(s);
+	struct lifted l = lift_unused(s);
+	struct fit f;
+	bool ok = fit_job(s, now, j, FIT_FIRM, NULL, &f);
+
+	if (ok)
+		sched_take(s, j, &f, false, NULL, false);
+	if (ok) {
+		cover_by_any(s, j);
+		place_lifted(s, &l);
+	}
+	if (ok && count_unplaced(s) > before) {
+		sched_give_back(s, j);
+		ok = false;
 	}
+	if (!ok)
+		restore_lifted(s, &l);
+	lifted_clear(&l);
+	return ok;
 }
 
 /* Find places for the holds that have none, moving others where that helps. */
@@ -257,8 +322,7 @@
 static bool is_misplaced(const struct sched *s, const struct sched_hold *h)
 {
 	for (guint i = 0; i < h->pieces->len; i++) {
-		const struct sched_worker *w =
-			sched_worker_at(s, hold_piece_at(h, i)->worker);
+		const struct sched_worker *w = sched_worker_at(s, hold_piece_at(h, i)->worker);
 
 		if (w->draining || w->quarantined || w->restricted)
 			return true;
@@ -411,6 +475,61 @@
 	return ok;
 }
 
+/* Accelerators of a member that no hold covers yet. */
+static uint32_t uncovered(const struct sched_job *j, const struct sched_member *m)
+{
+	uint32_t n = m->accelerators;
+
+	for (guint i = 0; j->charges != NULL && i < j->charges->len; i++) {
+		const struct sched_charge *c =
+			&g_array_index(j->charges, struct sched_charge, i);
+
+		n -= c->worker == m->worker ? c->accelerators : 0;
+	}
+	return n;
+}
+
+/* Place a hold that is smaller than a job inside it. */
+static bool cover_part(struct sched *s, struct sched_hold *h, struct sched_job *j)
+{
+	g_autoptr(GArray) rooms = g_array_new(FALSE, TRUE, sizeof(struct pack_worker));
+	g_autoptr(GArray) pieces = g_array_new(FALSE, TRUE, sizeof(struct pack_piece));
+	struct pack_shape shape = {h->accelerators, h->adjacency};
+
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		struct pack_worker p = {.rack = sched_worker_at(s, j->members[i].worker)->rack,
+			.free = uncovered(j, &j->members[i])};
+
+		g_array_append_val(rooms, p);
+	}
+	if (h->placed || h->org != j->org ||
+		!pack_one(&shape, 0, (struct pack_worker *)rooms->data, rooms->len, pieces))
+		return false;
+	for (guint i = 0; i < pieces->len; i++) {
+		struct pack_piece *p = &g_array_index(pieces, struct pack_piece, i);
+
+		p->worker = j->members[p->worker].worker;
+	}
+	hold_put(s, h, pieces);
+	hold_charge_all(s, j, h);
+	return true;
+}
+
+/* Place the first hold that suits around a job, or else smaller ones inside it. */
+static void cover_by_any(struct sched *s, struct sched_job *j)
+{
+	if (!is_chargeable(s, j))
+		return;
+	for (guint k = 0; k < s->holds->len; k++) {
+		struct sched_hold *h = s->holds->pdata[k];
+
+		if (hold_suits(s, h, j) && cover_job(s, h, j))
+			return;
+	}
+	for (guint k = 0; !job_stoppable(j) && k < s->holds->len; k++)
+		cover_part(s, s->holds->pdata[k], j);
+}
+
 /* Place holds around running jobs that no hold covers; those that cannot be stopped first. */
 void plan_cover_running(struct sched *s)
 {
@@ -420,15 +539,9 @@
 		for (guint i = 0; i < s->active->len; i++) {
 			struct sched_job *j = s->active->pdata[i];
 
-			if (j->charged || j->state != SCHED_JOB_RUNNING ||
-				job_stoppable(j) != (round == 1) || !is_chargeable(s, j))
-				continue;
-			for (guint k = 0; k < s->holds->len && !j->charged; k++) {
-				struct sched_hold *h = s->holds->pdata[k];
-
-				if (hold_suits(s, h, j))
-					cover_job(s, h, j);
-			}
+			if (!j->charged && j->state == SCHED_JOB_RUNNING &&
+				job_stoppable(j) == (round == 1))
+				cover_by_any(s, j);
 		}
 	}
 }
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -145,6 +145,7 @@
 void hold_put(struct sched *s, struct sched_hold *h, const GArray *pieces);
 void hold_lift(struct sched *s, struct sched_hold *h);
 void hold_charge(struct sched *s, struct sched_job *j, struct sched_hold *first);
+void hold_charge_all(struct sched *s, struct sched_job *j, struct sched_hold *h);
 void hold_uncharge(struct sched *s, struct sched_job *j);
 void hold_drop_charges(struct sched *s, struct sched_hold *h);
 
@@ -153,6 +154,7 @@
 void plan_drop_worker(struct sched *s, int64_t now, uint32_t worker);
 void plan_place(struct sched *s, int64_t now);
 bool plan_move_to_free(struct sched *s, struct sched_hold *h);
+bool plan_take_around(struct sched *s, int64_t now, struct sched_job *j);
 void plan_avoid_unfit(struct sched *s);
 void plan_cover_running(struct sched *s);
 void plan_lift_overfull(struct sched *s);
@@ -162,7 +164,9 @@
 	FIT_CHARGED_FREE,
 	FIT_CHARGED,
 	FIT_FIRM,
-	FIT_BORROWED
+	FIT_BORROWED,
+	FIT_FIRM_CLEARED,
+	FIT_BORROWED_CLEARED
 };
 struct fit {
 	struct sched_member members[SCHED_MEMBERS_MAX];
@@ -180,6 +184,7 @@
 
 /* sched-claim.c */
 bool claim_start(struct sched *s, int64_t now, struct sched_job *j);
+bool claim_preempt(struct sched *s, int64_t now, struct sched_job *j);
 void claim_finish(struct sched *s, int64_t now);
 
 /* sched-queue.c */
--- a/packages/coordination/sched-queue.c
+++ b/packages/coordination/sched-queue.c
@@ -14,6 +14,7 @@
 #define TRIES_MAX	   400
 #define CLAIM_TRIES_MAX	   64
 #define RESERVATIONS_MAX   3
+#define PREEMPT_TRIES_MAX  16
 #define LARGE_ACCELERATORS 8
 
 /* Compare two queued jobs. */
@@ -279,6 +280,11 @@
 		sched_begin(s, now, j);
 		return true;
 	}
+	if (firm && plan_take_around(s, now, j)) {
+		j->decision = (struct sched_decision){.why = SCHED_WHY_FREE, .at = now};
+		sched_begin(s, now, j);
+		return true;
+	}
 	j->decision.why = firm ? SCHED_WHY_UNSTOPPABLE : SCHED_WHY_BLOCKED;
 	j->decision.considered = f.considered;
 	j->decision.largest_free = f.largest;
@@ -292,6 +298,7 @@
 	GHashTable *failed = g_hash_table_new_full(g_int64_hash, g_int64_equal, free, NULL);
 	GArray *endings = NULL;
 	uint32_t reservations = 0;
+	uint32_t preempts = 0;
 	uint32_t tries = 0;
 	bool behind = false;
 
@@ -311,6 +318,11 @@
 			continue;
 		if (s->policy == SCHED_POLICY_FIFO)
 			break;
+		if (s->policy == SCHED_POLICY_FULL && preempts < PREEMPT_TRIES_MAX) {
+			preempts++;
+			if (claim_preempt(s, now, j))
+				continue;
+		}
 		g_hash_table_add(failed, g_memdup2(&sig, sizeof(sig)));
 		if (s->policy == SCHED_POLICY_FULL && reservations < RESERVATIONS_MAX &&
 			j->accelerators >= LARGE_ACCELERATORS) {
--- a/packages/standin/standin-upstream.c
+++ b/packages/standin/standin-upstream.c
@@ -12,8 +12,8 @@
 /*
  * Stands in for an upstream: announces itself to the agent beside it and runs tasks that do
  * nothing but wait. A task's payload may be JSON: {"sleep_ms":N}, {"fail":true},
- * {"refuse":true}, {"ignore_stop":true}; the answer is the payload itself. GET /log tells
- * which tasks were begun and how they ended, so that tests can count runs.
+ * {"refuse":true}, {"ignore_stop":true}, {"tag":"..."}; the answer is the payload itself. The
+ * beginning and the end of each task are printed, so that tests can count runs.
  */
 
 #define ANNOUNCE_PERIOD (NSEC_PER_SEC)
@@ -21,6 +21,7 @@
 struct task {
 	char *name;
 	char *job;
+	char *tag;
 	struct http_request *request;
 	struct loop_timer *timer;
 	struct bytes payload;
@@ -44,19 +45,16 @@
 	bool fail_all;
 	bool leaving;
 	GHashTable *tasks;
-	GString *log;
-	pthread_mutex_t log_lock;
 	int signal_fd;
 };
 
 static struct standin standin;
 
-/* Add a line to the log of runs. */
-static void log_run(const char *word, const char *task)
+/* Note what became of a task: the word, its name, the tag in its payload, the time. */
+static void log_run(const char *word, const struct task *t)
 {
-	pthread_mutex_lock(&standin.log_lock);
-	g_string_append_printf(standin.log, "%s %s\n", word, task);
-	pthread_mutex_unlock(&standin.log_lock);
+	printf("%s %s %s %lld\n", word, t->name, t->tag, (long long)loop_now(standin.loop));
+	fflush(stdout);
 }
 
 /* Free a task; for the table. */
@@ -66,6 +64,7 @@
 
 	free(t->name);
 	free(t->job);
+	free(t->tag);
 	free(t->type);
 	bytes_clear(&t->payload);
 	free(t);
@@ -75,7 +74,7 @@
 static void finish(struct task *t, int status, const char *word)
 {
 	loop_timer_del(standin.loop, t->timer);
-	log_run(word, t->name);
+	log_run(word, t);
 	http_reply(t->request, status, t->type != NULL ? t->type : "application/octet-stream",
 		t->payload.data, t->payload.len);
 	g_hash_table_remove(standin.tasks, t->name);
@@ -97,6 +96,9 @@
 	int64_t sleep_ms = json_integer_value(json_object_get(o, "sleep_ms"));
 	bool refuse = json_is_true(json_object_get(o, "refuse"));
 
+	t->tag = xstrdup(json_is_string(json_object_get(o, "tag"))
+				 ? json_string_value(json_object_get(o, "tag"))
+				 : "-");
 	t->fail = standin.fail_all || json_is_true(json_object_get(o, "fail"));
 	t->ignore_stop = json_is_true(json_object_get(o, "ignore_stop"));
 	json_decref(o);
@@ -105,7 +107,7 @@
 		task_free(t);
 		return;
 	}
-	log_run("begin", t->name);
+	log_run("begin", t);
 	t->began = loop_now(standin.loop);
 	g_hash_table_replace(standin.tasks, t->name, t);
 	t->timer = loop_timer_add(standin.loop, sleep_ms * NSEC_PER_MSEC, 0, on_time, t);
@@ -172,10 +174,6 @@
 	(void)arg;
 	if (strcmp(path, "/tasks") == 0) {
 		on_task(r);
-	} else if (strcmp(path, "/log") == 0) {
-		pthread_mutex_lock(&standin.log_lock);
-		http_reply_text(r, 200, "text/plain", standin.log->str);
-		pthread_mutex_unlock(&standin.log_lock);
 	} else if (g_str_has_prefix(path, "/tasks/") && strrchr(path, '/') > path + 6) {
 		struct word *w = xcalloc(1, sizeof(*w));
 		const char *slash = strrchr(path, '/');
@@ -293,8 +291,6 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	standin.signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-	pthread_mutex_init(&standin.log_lock, NULL);
-	standin.log = g_string_new(NULL);
 	standin.tasks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
 	standin.loop = loop_new(&clock_system);
 	standin.client = http_client_new(standin.loop);
--- /dev/null
+++ b/tests/scenario/proc.c
@@ -0,0 +1,163 @@
+#include "runner.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define START_LIMIT (20 * NSEC_PER_SEC)
+
+/* Find a process by name. */
+struct proc *proc_find(struct scenario *s, const char *name)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+
+		if (strcmp(p->name, name) == 0)
+			return p;
+	}
+	return NULL;
+}
+
+/* Start the program of a process; output is appended to its files. */
+static void launch(struct proc *p)
+{
+	p->killed = false;
+	p->stopping = false;
+	p->pid = fork();
+	if (p->pid != 0)
+		return;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(open(p->out, O_WRONLY | O_CREAT | O_APPEND, 0600), 1);
+	dup2(open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
+	execv(p->argv[0], p->argv);
+	_exit(127);
+}
+
+/* The address that a process printed after "ready " or logged after "http=" or "upstream=". */
+static char *find_addr(const struct proc *p)
+{
+	static const char *const marks[] = {"ready ", "http=", "upstream="};
+	g_autofree char *out = NULL;
+	g_autofree char *log = NULL;
+	g_autofree char *both = NULL;
+
+	g_file_get_contents(p->out, &out, NULL, NULL);
+	g_file_get_contents(p->log, &log, NULL, NULL);
+	both = g_strconcat(out ? out : "", log ? log : "", NULL);
+	for (size_t i = 0; i < ARRAY_LEN(marks); i++) {
+		const char *at = g_strrstr(both, marks[i]);
+
+		if (at == NULL)
+			continue;
+		at += strlen(marks[i]);
+		if (strpbrk(at, " \n") != NULL)
+			return g_strndup(at, (gsize)(strpbrk(at, " \n") - at));
+	}
+	return NULL;
+}
+
+/* Wait until a process has told its address. */
+static void await_ready(struct scenario *s, struct proc *p)
+{
+	int64_t limit = now_ns() + START_LIMIT;
+
+	g_free(p->addr);
+	p->addr = NULL;
+	while (p->addr == NULL && now_ns() < limit) {
+		p->addr = find_addr(p);
+		if (p->addr == NULL)
+			usleep(5000);
+	}
+	if (p->addr == NULL)
+		fail(s, "%s did not start", p->name);
+}
+
+/* Start a process; owns argv. */
+struct proc *proc_start(struct scenario *s, const char *name, char **argv)
+{
+	struct proc *p = xcalloc(1, sizeof(*p));
+
+	g_strlcpy(p->name, name, sizeof(p->name));
+	p->argv = argv;
+	xasprintf(&p->out, "%s/%s.out", s->dir, name);
+	xasprintf(&p->log, "%s/%s.log", s->dir, name);
+	g_ptr_array_add(s->procs, p);
+	launch(p);
+	await_ready(s, p);
+	return p;
+}
+
+/* Start a process again with the same arguments. */
+void proc_restart(struct scenario *s, struct proc *p)
+{
+	(void)s;
+	launch(p);
+}
+
+/* Send a signal. */
+bool proc_signal(struct scenario *s, struct proc *p, int sig)
+{
+	s->last_fault = now_ns();
+	if (p == NULL || p->pid <= 0)
+		return false;
+	if (sig == SIGKILL) {
+		p->killed = true;
+		p->killed_at = now_ns();
+	}
+	if (sig == SIGTERM)
+		p->stopping = true;
+	kill(p->pid, sig);
+	if (sig == SIGKILL) {
+		waitpid(p->pid, NULL, 0);
+		p->pid = 0;
+	}
+	return true;
+}
+
+/* Wait for a process to end; its exit code, or -1 at the limit, when it is killed. */
+int proc_reap(struct proc *p, int64_t limit)
+{
+	int64_t until = now_ns() + limit;
+	int status = 0;
+
+	if (p->pid <= 0)
+		return 0;
+	while (waitpid(p->pid, &status, WNOHANG) == 0) {
+		if (now_ns() > until) {
+			kill(p->pid, SIGKILL);
+			waitpid(p->pid, &status, 0);
+			p->pid = 0;
+			return -1;
+		}
+		usleep(5000);
+	}
+	p->pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+/* Free a process's record. */
+void proc_free(void *arg)
+{
+	struct proc *p = arg;
+
+	g_strfreev(p->argv);
+	free(p->out);
+	free(p->log);
+	g_free(p->addr);
+	free(p);
+}
+
+/* A loopback address that is free now. */
+char *free_addr(void)
+{
+	char *addr = NULL;
+	int fd = addr_listen("127.0.0.1:0", &addr, NULL);
+
+	close(fd);
+	return addr;
+}
--- /dev/null
+++ b/tests/scenario/runner.c
@@ -0,0 +1,1033 @@
+#include "runner.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/*
+ * Runs a scenario: a file of one command a line against real processes on loopback. Waiting
+ * commands have a limit that only ends a hang; nothing is judged by how long it took, except
+ * the bound on partial gangs, which is a promise of the product.
+ */
+
+#define AWAIT_LIMIT (90 * NSEC_PER_SEC)
+#define STOP_LIMIT  (40 * NSEC_PER_SEC)
+#define MIX_PROCS   8
+
+/* Monotonic time. */
+int64_t now_ns(void)
+{
+	return clock_now(&clock_system);
+}
+
+/* Note a failed expectation. */
+void fail(struct scenario *s, const char *fmt, ...)
+{
+	AUTOFREE char *text = NULL;
+	va_list ap;
+
+	va_start(ap, fmt);
+	if (vasprintf(&text, fmt, ap) < 0)
+		abort();
+	va_end(ap);
+	fprintf(stderr, "%s:%d: %s\n", s->file, s->line, text);
+	s->t.failed++;
+}
+
+/* The address of some entry that runs and is not stopping. */
+const char *any_entry(struct scenario *s)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		const struct proc *p = s->procs->pdata[i];
+
+		if (p->name[0] == 'e' && p->pid > 0 && !p->stopping && !p->killed)
+			return p->addr;
+	}
+	return "127.0.0.1:1";
+}
+
+/* Find a worker. */
+static struct worker *find_worker(struct scenario *s, const char *name)
+{
+	for (guint i = 0; i < s->workers->len; i++) {
+		struct worker *w = s->workers->pdata[i];
+
+		if (strcmp(w->name, name) == 0)
+			return w;
+	}
+	return NULL;
+}
+
+/* Find a job. */
+static struct job *find_job(struct scenario *s, const char *name)
+{
+	for (guint i = 0; i < s->jobs->len; i++) {
+		struct job *j = s->jobs->pdata[i];
+
+		if (strcmp(j->name, name) == 0)
+			return j;
+	}
+	return NULL;
+}
+
+/* Build an argument vector. */
+static char **args(const char *first, ...)
+{
+	GPtrArray *a = g_ptr_array_new();
+	va_list ap;
+
+	va_start(ap, first);
+	for (const char *p = first; p != NULL; p = va_arg(ap, const char *))
+		g_ptr_array_add(a, g_strdup(p));
+	va_end(ap);
+	g_ptr_array_add(a, NULL);
+	return (char **)g_ptr_array_free(a, FALSE);
+}
+
+/* The value of a word NAME=VALUE; NULL where it is not there. */
+static const char *option(char **w, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (int i = 1; w[i] != NULL; i++) {
+		if (strncmp(w[i], name, len) == 0 && w[i][len] == '=')
+			return w[i] + len + 1;
+	}
+	return NULL;
+}
+
+/* Whether a word stands alone in the command. */
+static bool has_word(char **w, const char *word)
+{
+	for (int i = 1; w[i] != NULL; i++) {
+		if (strcmp(w[i], word) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* store */
+static void do_store(struct scenario *s, char **w)
+{
+	g_autofree char *prog = g_strconcat(s->bin, "/standin-store", NULL);
+	g_autofree char *body = NULL;
+	const char *n = w[1] != NULL && w[2] != NULL ? w[2] : "1";
+
+	if (s->store == NULL) {
+		s->store = proc_start(s, "store", args(prog, "127.0.0.1:0", NULL));
+		return;
+	}
+	s->last_fault = now_ns();
+	if (strcmp(w[1], "down") == 0 || strcmp(w[1], "up") == 0)
+		body = g_strdup_printf("{\"down\":%s}", w[1][0] == 'd' ? "true" : "false");
+	else if (strcmp(w[1], "slow") == 0)
+		body = g_strdup_printf("{\"slow_ms\":%s}", n);
+	else if (strcmp(w[1], "drop") == 0)
+		body = g_strdup_printf("{\"drop_answers\":%s}", n);
+	else
+		body = g_strdup_printf("{\"%s\":true}",
+			strcmp(w[1], "expire") == 0 ? "expire_leases" : "compact");
+	client_put(s->store->addr, "/control", body, NULL);
+}
+
+/* entry NAME [setting=value...] */
+static void do_entry(struct scenario *s, char **w)
+{
+	g_autofree char *prog = g_strconcat(s->bin, "/damaskpathd", NULL);
+	g_autofree char *store = g_strconcat("--store=http://", s->store->addr, NULL);
+	g_autofree char *http_addr = free_addr();
+	g_autofree char *http = g_strconcat("--http=", http_addr, NULL);
+	g_autofree char *name = g_strconcat("--name=", w[1], NULL);
+	g_autofree char *extra = w[2] != NULL ? g_strconcat("--", w[2], NULL) : NULL;
+
+	proc_start(s, w[1],
+		args(prog, "entry", http, store, name, "--coordinator-timeout=20s", extra,
+			NULL));
+}
+
+/* worker NAME [rack=R] [accelerators=N] [fail-all] [keys=K] */
+static void do_worker(struct scenario *s, char **w)
+{
+	g_autofree char *prog = g_strconcat(s->bin, "/damaskpathd", NULL);
+	g_autofree char *standin = g_strconcat(s->bin, "/standin-upstream", NULL);
+	g_autofree char *store = g_strconcat("--store=http://", s->store->addr, NULL);
+	g_autofree char *peer_addr = free_addr();
+	g_autofree char *http_addr = free_addr();
+	g_autofree char *up_addr = free_addr();
+	g_autofree char *agent_name = g_strconcat(w[1], ".agent", NULL);
+	g_autofree char *name = g_strconcat("--name=", w[1], NULL);
+	g_autofree char *http = g_strconcat("--agent-http=", http_addr, NULL);
+	g_autofree char *peer = g_strconcat("--peer=", peer_addr, NULL);
+	g_autofree char *advertise = NULL;
+	char *relay_addr = NULL;
+	const char *rack = option(w, "rack");
+	const char *n = option(w, "accelerators");
+	g_autofree char *keys = option(w, "keys") != NULL
+					? g_strconcat("--peer-keys=", option(w, "keys"), NULL)
+					: NULL;
+	struct worker *wk = xcalloc(1, sizeof(*wk));
+
+	g_strlcpy(wk->name, w[1], sizeof(wk->name));
+	wk->relay = relay_new(peer_addr, &relay_addr);
+	advertise = g_strconcat("--advertise=", relay_addr, NULL);
+	g_free(relay_addr);
+	wk->agent = proc_start(s, agent_name,
+		args(prog, "agent", "--cell=cell-1", "--lease=3s", store, name, http, peer,
+			advertise, "--store-timeout=1s", keys, NULL));
+	wk->upstream = proc_start(s, w[1],
+		args(standin, "--http", up_addr, "--agent", http_addr, "--worker", w[1],
+			"--rack", rack != NULL ? rack : "r1", "--accelerators",
+			n != NULL ? n : "8", has_word(w, "fail-all") ? "--fail-all" : NULL,
+			NULL));
+	g_ptr_array_add(s->workers, wk);
+}
+
+/* Write all sections of a document. */
+static void do_config(struct scenario *s, char **w)
+{
+	struct doc_problems problems = STAILQ_HEAD_INITIALIZER(problems);
+	g_autoptr(GPtrArray) sections = g_ptr_array_new_with_free_func(doc_section_free);
+	g_autofree char *text = NULL;
+
+	if (!g_file_get_contents(w[1], &text, NULL, NULL) ||
+		!doc_split(text, sections, &problems)) {
+		fail(s, "%s cannot be read", w[1]);
+		return;
+	}
+	for (guint i = 0; i < sections->len; i++) {
+		const struct doc_section *sec = sections->pdata[i];
+		g_autofree char *path = g_strdup_printf("/v1/config/%s?base=0", sec->name);
+		int64_t limit = now_ns() + AWAIT_LIMIT;
+		int status = 0;
+
+		while (status != 200 && now_ns() < limit) {
+			status = client_put(any_entry(s), path, sec->text, NULL);
+			if (status != 200)
+				usleep(50000);
+		}
+		if (status != 200)
+			fail(s, "section %s was not accepted: %d", sec->name, status);
+	}
+}
+
+/* Number of workers in a state, as an entry tells. */
+static int count_workers(struct scenario *s, const char *state, const char *name)
+{
+	int status;
+	json_t *o = client_get(s, NULL, "/v1/workers", &status);
+	json_t *row;
+	size_t i;
+	int n = 0;
+
+	json_array_foreach(status == 200 ? o : NULL, i, row) {
+		const char *have = json_string_value(json_object_get(row, "state"));
+		const char *worker = json_string_value(json_object_get(row, "worker"));
+
+		n += have != NULL && strcmp(have, state) == 0 &&
+		     (name == NULL || strcmp(name, worker) == 0);
+	}
+	json_decref(o);
+	return n;
+}
+
+/* Whether every coordinator has a configuration and is settled. */
+static bool is_settled(struct scenario *s)
+{
+	int status;
+	json_t *o = client_get(s, NULL, "/v1/cells", &status);
+	json_t *row = json_array_get(o, 0);
+	bool ok = status == 200 && json_array_size(o) == 1 &&
+		  json_is_true(json_object_get(row, "settled")) &&
+		  json_integer_value(json_object_get(row, "config")) > 0;
+
+	json_decref(o);
+	return ok;
+}
+
+/* The configuration number in force at an entry; 0 where it does not answer. */
+static int64_t config_number(struct scenario *s, const char *addr)
+{
+	int status;
+	json_t *o = client_get(s, addr, "/v1/config-status", &status);
+	int64_t n = json_integer_value(json_object_get(o, "number"));
+
+	json_decref(o);
+	return status == 200 ? n : 0;
+}
+
+/* Look at each entry's configuration: none may go back. */
+static void watch_config(struct scenario *s)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+		int64_t n;
+		int64_t *last;
+
+		if (p->name[0] != 'e' || p->pid <= 0 || p->killed || p->stopping)
+			continue;
+		n = config_number(s, p->addr);
+		last = g_hash_table_lookup(s->numbers, p->name);
+		if (n > 0 && last != NULL && n < *last)
+			s->t.reverted++;
+		if (n > 0)
+			g_hash_table_replace(
+				s->numbers, g_strdup(p->name), g_memdup2(&n, sizeof(n)));
+	}
+}
+
+/* Whether all entries have a configuration number. */
+static bool config_everywhere(struct scenario *s, int64_t n)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+
+		if (p->name[0] == 'e' && p->pid > 0 && !p->killed &&
+			config_number(s, p->addr) < n)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a job has an outcome by now. */
+static bool has_outcome(struct scenario *s, struct job *j)
+{
+	if (!__atomic_load_n(&j->answered, __ATOMIC_ACQUIRE))
+		return false;
+	client_poll(s, j);
+	return j->outcome != NULL || j->cut;
+}
+
+/* One condition of "await". */
+static bool holds(struct scenario *s, char **w)
+{
+	struct job *j;
+
+	if (strcmp(w[1], "workers") == 0)
+		return count_workers(s, "up", NULL) >= atoi(w[2]) && is_settled(s);
+	if (strcmp(w[1], "settled") == 0)
+		return is_settled(s);
+	if (strcmp(w[1], "worker") == 0)
+		return count_workers(s, w[3], w[2]) == 1;
+	if (strcmp(w[1], "config") == 0)
+		return config_everywhere(s, atoi(w[2]));
+	if (strcmp(w[1], "running") == 0) {
+		j = find_job(s, w[2]);
+		return j != NULL && audit_begun(s, j) > 0;
+	}
+	if (strcmp(w[1], "jobs") == 0) {
+		for (guint i = 0; i < s->jobs->len; i++) {
+			if (!has_outcome(s, s->jobs->pdata[i]))
+				return false;
+		}
+		return true;
+	}
+	j = find_job(s, w[1]);
+	return j != NULL && has_outcome(s, j);
+}
+
+/* await CONDITION... */
+static void do_await(struct scenario *s, char **w)
+{
+	int64_t limit = now_ns() + AWAIT_LIMIT;
+
+	while (!holds(s, w)) {
+		if (now_ns() > limit) {
+			fail(s, "%s %s did not come about", w[1], w[2] ? w[2] : "");
+			return;
+		}
+		usleep(20000);
+	}
+}
+
+/* The body of a submission, from the words of the command. */
+static char *job_body(const struct job *j, char **w)
+{
+	json_t *o = json_pack("{s:s,s:s,s:b}", "organisation",
+		option(w, "org") ? option(w, "org") : "alpha", "class",
+		option(w, "class") ? option(w, "class") : "normal", "idempotent",
+		j->idempotent);
+	g_autofree char *payload = g_strdup_printf("{\"tag\":\"%s\",\"sleep_ms\":%s%s%s%s}",
+		j->name, option(w, "sleep") ? option(w, "sleep") : "100",
+		has_word(w, "fail") ? ",\"fail\":true" : "",
+		has_word(w, "ignore-stop") ? ",\"ignore_stop\":true" : "",
+		has_word(w, "refuse") ? ",\"refuse\":true" : "");
+	char *text;
+
+	json_object_set_new(o, "payload", json_string(payload));
+	json_object_set_new(
+		o, "accelerators", json_integer(option(w, "acc") ? atoi(option(w, "acc")) : 1));
+	if (option(w, "within") != NULL)
+		json_object_set_new(o, "within", json_string(option(w, "within")));
+	if (option(w, "deadline") != NULL)
+		json_object_set_new(o, "deadline_s", json_real(atof(option(w, "deadline"))));
+	if (option(w, "run") != NULL)
+		json_object_set_new(o, "run_time_s", json_real(atof(option(w, "run"))));
+	json_object_set_new(o, "checkpoint", json_boolean(has_word(w, "checkpoint")));
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
+/* Submit one job. */
+static struct job *submit_one(struct scenario *s, const char *name, char **w)
+{
+	struct job *j = xcalloc(1, sizeof(*j));
+
+	g_strlcpy(j->name, name, sizeof(j->name));
+	j->idempotent = has_word(w, "idempotent");
+	j->async = has_word(w, "async");
+	j->key = xstrdup(option(w, "key"));
+	j->entry_name = xstrdup(option(w, "entry"));
+	if (option(w, "tag") != NULL)
+		g_strlcpy(j->name, option(w, "tag"), sizeof(j->name));
+	j->body = job_body(j, w);
+	g_strlcpy(j->name, name, sizeof(j->name));
+	g_ptr_array_add(s->jobs, j);
+	client_submit(s, j);
+	return j;
+}
+
+/* submit NAME[*COUNT] [org=] [acc=] [within=] [sleep=] [idempotent] [async] [key=] ... */
+static void do_submit(struct scenario *s, char **w)
+{
+	char *star = strchr(w[1], '*');
+	int n = star != NULL ? atoi(star + 1) : 1;
+
+	if (star == NULL) {
+		submit_one(s, w[1], w);
+		return;
+	}
+	*star = '\0';
+	for (int i = 0; i < n; i++) {
+		g_autofree char *name = g_strdup_printf("%s%d", w[1], i);
+
+		submit_one(s, name, w);
+	}
+}
+
+/* Wait for a job's outcome. */
+static void settle_job(struct scenario *s, struct job *j)
+{
+	int64_t limit = now_ns() + AWAIT_LIMIT;
+
+	while (!has_outcome(s, j) && now_ns() < limit)
+		usleep(10000);
+}
+
+/* expect JOB OUTCOME[|OUTCOME] [kind=K] */
+static void do_expect(struct scenario *s, char **w)
+{
+	struct job *j = find_job(s, w[1]);
+	g_auto(GStrv) any = g_strsplit(w[2], "|", -1);
+
+	if (j == NULL) {
+		fail(s, "there is no job %s", w[1]);
+		return;
+	}
+	settle_job(s, j);
+	if (j->outcome == NULL || !g_strv_contains((const gchar *const *)any, j->outcome))
+		fail(s, "job %s ended %s, not %s: %s", w[1],
+			j->outcome ? j->outcome
+			: j->cut   ? "cut"
+				   : "nowhere",
+			w[2], j->text ? j->text : "");
+	if (option(w, "kind") != NULL && g_strcmp0(option(w, "kind"), j->kind) != 0)
+		fail(s, "job %s has kind %s, not %s", w[1], j->kind ? j->kind : "none",
+			option(w, "kind"));
+	if (has_word(w, "not_run") && !j->not_run)
+		fail(s, "job %s was not said not to have run", w[1]);
+}
+
+/* runs JOB N: how often it was begun; "N-M" for a range. */
+static void do_runs(struct scenario *s, char **w)
+{
+	struct job *j = find_job(s, w[1]);
+	uint32_t n = j != NULL ? audit_begun(s, j) : 0;
+	uint32_t min = (uint32_t)atoi(w[2]);
+	uint32_t max = strchr(w[2], '-') != NULL ? (uint32_t)atoi(strchr(w[2], '-') + 1) : min;
+
+	if (n < min || n > max)
+		fail(s, "job %s was begun %u times, not %s", w[1], n, w[2]);
+}
+
+/* cancel JOB */
+static void do_cancel(struct scenario *s, char **w)
+{
+	struct job *j = find_job(s, w[1]);
+	g_autofree char *url = NULL;
+	struct http_call *c;
+
+	while (j != NULL && !__atomic_load_n(&j->answered, __ATOMIC_ACQUIRE))
+		usleep(5000);
+	if (j == NULL || j->id == NULL)
+		return;
+	url = g_strdup_printf("http://%s/v1/jobs/%s", any_entry(s), j->id);
+	c = http_call_new("DELETE", url);
+	http_call_run(c);
+	http_call_free(c);
+}
+
+/* The processes that a name stands for: an entry, an agent, an upstream, or both of a worker.
+ */
+static void signal_name(struct scenario *s, const char *name, int sig)
+{
+	struct worker *w = find_worker(s, name);
+
+	if (w != NULL) {
+		proc_signal(s, w->upstream, sig);
+		proc_signal(s, w->agent, sig);
+		return;
+	}
+	if (!proc_signal(s, proc_find(s, name), sig))
+		fail(s, "there is no process %s to signal", name);
+}
+
+/* The agent that coordinates, by the log of terms that agents have won. */
+static struct worker *coordinator(struct scenario *s)
+{
+	struct worker *best = NULL;
+	long best_term = -1;
+
+	for (guint i = 0; i < s->workers->len; i++) {
+		struct worker *w = s->workers->pdata[i];
+		g_autofree char *log = NULL;
+		const char *at;
+
+		if (w->agent->killed || !g_file_get_contents(w->agent->log, &log, NULL, NULL))
+			continue;
+		at = g_strrstr(log, "The term is ours");
+		at = at != NULL ? strstr(at, "term=") : NULL;
+		if (at != NULL && atol(at + 5) > best_term) {
+			best_term = atol(at + 5);
+			best = w;
+		}
+	}
+	return best;
+}
+
+/* A name, or "coordinator" for the worker that coordinates. */
+static const char *resolve(struct scenario *s, const char *name)
+{
+	struct worker *w = strcmp(name, "coordinator") == 0 ? coordinator(s) : NULL;
+
+	return w != NULL ? w->name : name;
+}
+
+/* restart NAME */
+static void do_restart(struct scenario *s, char **w)
+{
+	struct worker *wk = find_worker(s, w[1]);
+	struct proc *p = proc_find(s, w[1]);
+
+	if (wk != NULL) {
+		if (wk->agent->pid == 0)
+			proc_restart(s, wk->agent);
+		if (wk->upstream->pid == 0)
+			proc_restart(s, wk->upstream);
+	} else if (p != NULL) {
+		proc_restart(s, p);
+	}
+}
+
+/* stop NAME: a planned stop, which must end by itself. */
+static void do_stop(struct scenario *s, char **w)
+{
+	struct worker *wk = find_worker(s, w[1]);
+	struct proc *p = proc_find(s, w[1]);
+	int code = 0;
+
+	signal_name(s, w[1], SIGTERM);
+	if (wk != NULL) {
+		code |= proc_reap(wk->upstream, STOP_LIMIT);
+		code |= proc_reap(wk->agent, STOP_LIMIT);
+	} else if (p != NULL) {
+		code = proc_reap(p, STOP_LIMIT);
+	}
+	if (code != 0)
+		fail(s, "%s ended with code %d", w[1], code);
+}
+
+/* link NAME open|hold|cut: the way to an agent's peer address. */
+static void do_link(struct scenario *s, char **w)
+{
+	struct worker *wk = find_worker(s, w[1]);
+
+	s->last_fault = now_ns();
+	if (wk == NULL)
+		fail(s, "there is no worker %s", w[1]);
+	else
+		relay_set(wk->relay, strcmp(w[2], "cut") == 0	 ? RELAY_CUT
+				     : strcmp(w[2], "hold") == 0 ? RELAY_HOLD
+								 : RELAY_OPEN);
+}
+
+/* probe: submit small jobs until one is done; notes the time since the last fault. */
+static void do_probe(struct scenario *s, char **w)
+{
+	int64_t limit = now_ns() + AWAIT_LIMIT;
+	char *words[] = {"submit", "probe", "idempotent", "sleep=1", "class=urgent", NULL};
+	bool ok = false;
+
+	(void)w;
+	for (int i = 0; !ok && now_ns() < limit; i++) {
+		g_autofree char *name = g_strdup_printf("probe%d-%d", s->line, i);
+		struct job *j = submit_one(s, name, words);
+
+		settle_job(s, j);
+		ok = g_strcmp0(j->outcome, "done") == 0;
+		if (!ok)
+			usleep(100000);
+	}
+	if (!ok)
+		fail(s, "no probe was answered");
+	if (s->last_fault > 0)
+		s->t.recovery_s = MAX(s->t.recovery_s,
+			(double)(now_ns() - s->last_fault) / (double)NSEC_PER_SEC);
+}
+
+/* race SECTIONS: that many operators edit sections of their own at once, through all entries.
+ */
+struct racer {
+	struct scenario *s;
+	const char *addr;
+	char *section;
+	int edits;
+	int accepted;
+	int64_t last;
+};
+
+static void *race_thread(void *arg)
+{
+	struct racer *r = arg;
+	uint64_t base = 0;
+
+	for (int i = 0; i < r->edits; i++) {
+		g_autofree char *text =
+			g_strdup_printf("organisations:\n  %s-org:\n    quota: {jobs: %d}\n",
+				r->section, i + 1);
+		g_autofree char *path = g_strdup_printf(
+			"/v1/config/teams/%s?base=%" G_GUINT64_FORMAT, r->section, base);
+		json_t *o = NULL;
+		int status = client_put(r->addr, path, text, &o);
+
+		if (status == 200) {
+			r->accepted++;
+			r->last = json_integer_value(json_object_get(o, "number"));
+			base = (uint64_t)r->last;
+		} else {
+			i--;
+			usleep(20000);
+		}
+		json_decref(o);
+	}
+	return NULL;
+}
+
+/* race N EDITS */
+static void do_race(struct scenario *s, char **w)
+{
+	int n = atoi(w[1]);
+	struct racer *r = xcalloc((size_t)n, sizeof(*r));
+	pthread_t *t = xcalloc((size_t)n, sizeof(*t));
+	GPtrArray *entries = g_ptr_array_new();
+	int64_t last = 0;
+
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+
+		if (p->name[0] == 'e')
+			g_ptr_array_add(entries, p->addr);
+	}
+	for (int i = 0; i < n; i++) {
+		r[i] = (struct racer){.s = s,
+			.addr = entries->pdata[(guint)i % entries->len],
+			.edits = atoi(w[2])};
+		r[i].section = g_strdup_printf("race%d", i);
+		pthread_create(&t[i], NULL, race_thread, &r[i]);
+	}
+	for (int i = 0; i < n; i++) {
+		pthread_join(t[i], NULL);
+		last = MAX(last, r[i].last);
+	}
+	while (!config_everywhere(s, last))
+		usleep(20000);
+	for (int i = 0; i < n; i++) {
+		g_autofree char *path = g_strdup_printf("/v1/config/teams/%s", r[i].section);
+		int status;
+		json_t *o = client_get(s, NULL, path, &status);
+
+		if (json_integer_value(json_object_get(o, "number")) != r[i].last)
+			s->t.reverted++;
+		json_decref(o);
+		g_free(r[i].section);
+	}
+	g_ptr_array_unref(entries);
+	free(r);
+	free(t);
+}
+
+/* set SECTION BASE STATUS TEXT...: one edit, with the status that it must get. */
+static void do_set(struct scenario *s, char **w)
+{
+	g_autofree char *path = g_strdup_printf("/v1/config/%s?base=%s", w[1], w[2]);
+	g_autofree char *text = g_strjoinv(" ", w + 4);
+	int status = client_put(any_entry(s), path, text, NULL);
+
+	if (status != atoi(w[3]))
+		fail(s, "the edit was answered with %d, not %s", status, w[3]);
+}
+
+/* raw NAME: send bytes that are no protocol to a process; it must go on. */
+static void do_raw(struct scenario *s, char **w)
+{
+	struct worker *wk = find_worker(s, w[1]);
+	char junk[4096];
+	const char *addr = NULL;
+	int fd;
+
+	for (int i = 0; wk != NULL && wk->agent->argv[i] != NULL; i++) {
+		if (g_str_has_prefix(wk->agent->argv[i], "--peer="))
+			addr = wk->agent->argv[i] + 7;
+	}
+	for (int round = 0; addr != NULL && round < 20; round++) {
+		for (size_t i = 0; i < sizeof(junk); i++)
+			junk[i] = (char)g_rand_int_range(s->rand, 0, 256);
+		if (round % 2 == 0)
+			memcpy(junk, "DMP1", 4);
+		fd = addr_dial(addr, NULL);
+		usleep(2000);
+		if (send(fd, junk, sizeof(junk), MSG_NOSIGNAL) < 0 && errno != EPIPE)
+			usleep(1000);
+		if (round % 3 != 0)
+			close(fd);
+	}
+}
+
+/* One random fault of the mix, undone after a while. */
+static void random_fault(struct scenario *s)
+{
+	struct worker *w =
+		s->workers->pdata[g_rand_int_range(s->rand, 0, (gint32)s->workers->len)];
+	struct proc *e = proc_find(s, g_rand_boolean(s->rand) ? "e1" : "e2");
+	char *words[] = {"store", "down", "1", NULL};
+	useconds_t pause = (useconds_t)g_rand_int_range(s->rand, 200, 2500) * 1000;
+
+	switch (g_rand_int_range(s->rand, 0, 9)) {
+	case 0:
+		proc_signal(s, w->agent, SIGKILL);
+		usleep(pause);
+		proc_restart(s, w->agent);
+		break;
+	case 1:
+		proc_signal(s, w->agent, SIGSTOP);
+		usleep(pause * 2);
+		proc_signal(s, w->agent, SIGCONT);
+		break;
+	case 2:
+		relay_set(w->relay, RELAY_CUT);
+		usleep(pause);
+		relay_set(w->relay, RELAY_OPEN);
+		break;
+	case 3:
+		relay_set(w->relay, RELAY_HOLD);
+		usleep(pause * 2);
+		relay_set(w->relay, RELAY_OPEN);
+		break;
+	case 4:
+		do_store(s, words);
+		usleep(pause);
+		words[1] = "up";
+		do_store(s, words);
+		break;
+	case 5:
+		words[1] = "drop";
+		words[2] = "3";
+		do_store(s, words);
+		break;
+	case 6:
+		words[1] = "expire";
+		do_store(s, words);
+		break;
+	case 7:
+		proc_signal(s, w->upstream, SIGKILL);
+		usleep(pause);
+		proc_restart(s, w->upstream);
+		break;
+	default:
+		proc_signal(s, e, SIGSTOP);
+		usleep(pause / 2);
+		proc_signal(s, e, SIGCONT);
+		break;
+	}
+	s->last_fault = now_ns();
+}
+
+/* mix JOBS SECONDS: random jobs under random faults. */
+static void do_mix(struct scenario *s, char **w)
+{
+	static const char *const words[][6] = {
+		{"submit", "x", "idempotent", "acc=1", NULL},
+		{"submit", "x", "acc=1", "org=beta", NULL},
+		{"submit", "x", "acc=16", "within=rack", "idempotent", NULL},
+		{"submit", "x", "acc=2", "async", NULL},
+		{"submit", "x", "acc=12", "within=rack", "org=beta", NULL},
+		{"submit", "x", "idempotent", "async", "org=beta", NULL},
+	};
+	int jobs = atoi(w[1]);
+	int64_t step = atoi(w[2]) * NSEC_PER_SEC / jobs;
+	int64_t next_fault = now_ns() + 2 * NSEC_PER_SEC;
+
+	for (int i = 0; i < jobs; i++) {
+		int kind = g_rand_int_range(s->rand, 0, ARRAY_LEN(words));
+		g_autofree char *name = g_strdup_printf("m%d", i);
+		g_autofree char *sleep =
+			g_strdup_printf("sleep=%d", g_rand_int_range(s->rand, 5, 300));
+		char *all[8] = {0};
+		int n = 0;
+
+		for (; words[kind][n] != NULL; n++)
+			all[n] = (char *)words[kind][n];
+		all[n] = sleep;
+		submit_one(s, name, all);
+		usleep((useconds_t)(step / 1000));
+		if (now_ns() > next_fault && i < jobs * 9 / 10) {
+			random_fault(s);
+			next_fault =
+				now_ns() + g_rand_int_range(s->rand, 300, 2500) * NSEC_PER_MSEC;
+		}
+	}
+}
+
+static void do_kill(struct scenario *s, char **w)
+{
+	signal_name(s, resolve(s, w[1]), SIGKILL);
+}
+
+static void do_pause(struct scenario *s, char **w)
+{
+	signal_name(s, resolve(s, w[1]), SIGSTOP);
+}
+
+static void do_resume(struct scenario *s, char **w)
+{
+	signal_name(s, w[1], SIGCONT);
+}
+
+/* resume-all: let every paused process go on. */
+static void do_resume_all(struct scenario *s, char **w)
+{
+	(void)w;
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+
+		if (p->pid > 0)
+			kill(p->pid, SIGCONT);
+	}
+	s->last_fault = now_ns();
+}
+
+/* term NAME: begin a planned stop without waiting for its end. */
+static void do_term(struct scenario *s, char **w)
+{
+	signal_name(s, resolve(s, w[1]), SIGTERM);
+}
+
+static void do_wait(struct scenario *s, char **w)
+{
+	int64_t ns = 0;
+
+	if (!duration_parse(w[1], &ns))
+		fail(s, "'%s' is not a duration", w[1]);
+	usleep((useconds_t)(ns / 1000));
+}
+
+/* expect-config N: every entry has at least this edit in force. */
+static void do_expect_config(struct scenario *s, char **w)
+{
+	if (!config_everywhere(s, atoi(w[1])))
+		fail(s, "edit %s is not in force everywhere", w[1]);
+}
+
+static const struct command {
+	const char *name;
+	int words;
+	void (*exec)(struct scenario *s, char **w);
+} commands[] = {
+	{"store", 1, do_store},
+	{"entry", 2, do_entry},
+	{"worker", 2, do_worker},
+	{"config", 2, do_config},
+	{"await", 2, do_await},
+	{"submit", 2, do_submit},
+	{"expect", 3, do_expect},
+	{"expect-config", 2, do_expect_config},
+	{"runs", 3, do_runs},
+	{"cancel", 2, do_cancel},
+	{"kill", 2, do_kill},
+	{"pause", 2, do_pause},
+	{"resume", 2, do_resume},
+	{"resume-all", 1, do_resume_all},
+	{"restart", 2, do_restart},
+	{"stop", 2, do_stop},
+	{"term", 2, do_term},
+	{"link", 3, do_link},
+	{"probe", 1, do_probe},
+	{"race", 3, do_race},
+	{"set", 5, do_set},
+	{"raw", 2, do_raw},
+	{"mix", 3, do_mix},
+	{"wait", 2, do_wait},
+};
+
+/* Run one line. */
+static void run_line(struct scenario *s, const char *line)
+{
+	g_auto(GStrv) w = NULL;
+	int argc = 0;
+
+	if (!g_shell_parse_argv(line, &argc, &w, NULL))
+		return;
+	for (size_t i = 0; i < ARRAY_LEN(commands); i++) {
+		if (strcmp(commands[i].name, w[0]) != 0)
+			continue;
+		if (argc < commands[i].words)
+			fail(s, "%s needs more words", w[0]);
+		else
+			commands[i].exec(s, w);
+		watch_config(s);
+		return;
+	}
+	fail(s, "there is no command %s", w[0]);
+}
+
+/* Run a file's lines; "include FILE" takes in another one. */
+static void run_file(struct scenario *s, const char *path)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL)) {
+		fail(s, "%s cannot be read", path);
+		return;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (int i = 0; lines[i] != NULL; i++) {
+		const char *line = g_strstrip(lines[i]);
+
+		s->line = i + 1;
+		if (*line == '\0' || *line == '#')
+			continue;
+		if (g_str_has_prefix(line, "include "))
+			run_file(s, line + 8);
+		else
+			run_line(s, line);
+	}
+}
+
+/* Wait for all answers, then count what must not be. */
+static void finish(struct scenario *s)
+{
+	for (guint i = 0; i < s->jobs->len; i++) {
+		struct job *j = s->jobs->pdata[i];
+
+		settle_job(s, j);
+		if (!__atomic_load_n(&j->answered, __ATOMIC_ACQUIRE) ||
+			(j->outcome == NULL && !j->cut)) {
+			fprintf(stderr, "%s: job %s got no outcome (%s)\n", s->file, j->name,
+				j->id ? j->id : "no id");
+			s->t.lost++;
+		}
+		if (j->cut) {
+			struct proc *e =
+				j->entry_name != NULL ? proc_find(s, j->entry_name) : NULL;
+
+			if (e == NULL || !e->killed)
+				s->t.cut++;
+		}
+	}
+	audit_runs(s);
+}
+
+/* End all processes. */
+static void end_all(struct scenario *s)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+
+		if (p->pid > 0) {
+			kill(p->pid, SIGKILL);
+			waitpid(p->pid, NULL, 0);
+		}
+	}
+	for (guint i = 0; i < s->workers->len; i++)
+		relay_free(((struct worker *)s->workers->pdata[i])->relay);
+}
+
+/* Print the logs of the processes, for a scenario that failed. */
+static void print_logs(struct scenario *s)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		const struct proc *p = s->procs->pdata[i];
+		g_autofree char *text = NULL;
+
+		if (g_file_get_contents(p->log, &text, NULL, NULL))
+			fprintf(stderr, "--- %s\n%s", p->name, text);
+	}
+}
+
+/* usage: run-scenario BIN FILE [SEED] */
+int main(int argc, char **argv)
+{
+	struct scenario s = {.procs = g_ptr_array_new_with_free_func(proc_free),
+		.workers = g_ptr_array_new_with_free_func(free),
+		.jobs = g_ptr_array_new(),
+		.numbers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
+	uint32_t seed = argc > 3 ? (uint32_t)atoi(argv[3]) : 1;
+	g_autofree char *base = NULL;
+	struct tally *t = &s.t;
+	uint32_t bad;
+
+	if (argc < 3) {
+		fprintf(stderr, "usage: run-scenario BIN FILE [SEED]\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	s.bin = argv[1];
+	s.file = argv[2];
+	s.dir = g_dir_make_tmp("damaskpath-XXXXXX", NULL);
+	s.rand = g_rand_new_with_seed(seed);
+	run_file(&s, argv[2]);
+	finish(&s);
+	bad = t->lost + t->doubled + t->partial + t->false_not_run + t->cut + t->reverted +
+	      t->failed;
+	end_all(&s);
+	base = g_path_get_basename(argv[2]);
+	printf("fault name=%.*s runs=%u jobs=%u lost=%u doubled=%u partial_over_bound=%u "
+	       "false_not_run=%u cut=%u reverted=%u failed=%u recovery_s=%.2f\n",
+		(int)strcspn(base, "."), base, t->runs, s.jobs->len, t->lost, t->doubled,
+		t->partial, t->false_not_run, t->cut, t->reverted, t->failed, t->recovery_s);
+	if (bad > 0 && getenv("SCENARIO_LOGS") != NULL)
+		print_logs(&s);
+	if (bad > 0)
+		fprintf(stderr, "%s: files in %s\n", s.file, s.dir);
+	else {
+		g_autofree char *rm = g_strdup_printf("%s", s.dir);
+		GDir *d = g_dir_open(rm, 0, NULL);
+		const char *name;
+
+		while (d != NULL && (name = g_dir_read_name(d)) != NULL) {
+			g_autofree char *path = g_build_filename(rm, name, NULL);
+
+			unlink(path);
+		}
+		if (d != NULL)
+			g_dir_close(d);
+		rmdir(rm);
+	}
+	return bad == 0 ? 0 : 1;
+}
