coord, sched: faults that a model of the protocol and more random cases found

Cause: a property drives coordinator and agents over a fake network (losses, restarts, takeovers, lost store answers). It and larger runs of the others found: - a new coordinator overwrote the saved roster before the old agents had come, so the one after it took a running job for never started and ran it again; - a gang of which only reserved members were found was taken for not started although a member on a restarted agent may have run; - a reservation could go to an agent between its hello and its inventory, which then seemed to prove that it never started; - a worker suspected at exactly 3 s of silence stayed suspended for ever; - an attempt that was stopped before it was sent was never given back; - jobs without accelerators took slots that guarantees need, or were claimed nowhere; - when a charged job ended, its hold's share of slots could be in use by another. Change: each mended where it arose; shares are whole units per accelerator, and a charged job's firm use is its share; jobs that a new document crowds out are refused.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,14 @@
 $(BUILD)/run-scenario: $(SCEN_OBJS) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+UNIT_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/unit/*.c))
+
+$(BUILD)/test-units: $(UNIT_OBJS) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ -lcunit $(LIBS)
+
+TESTS = $(BUILD)/test-units $(BUILD)/test-properties $(BUILD)/run-scenario
+tests: all $(TESTS)
+
 PROP_OBJS = $(patsubst tests/%.cc,$(BUILD)/tests/%.o,$(wildcard tests/property/*.cc))
 
 $(BUILD)/tests/%.o: tests/%.cc
@@ -75,7 +83,7 @@
 	@$(MAKE) -s -j8 all
 	@scripts/demo
 
-check: all $(BUILD)/test-properties
+check: tests
 	@scripts/check
 
 clean:
@@ -83,4 +91,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all faults bench-scale bench-path bench-policy packages demo check clean
+.PHONY: all tests faults bench-scale bench-path bench-policy packages demo check clean
--- a/packages/coordination/coord-agent.c
+++ b/packages/coordination/coord-agent.c
@@ -93,6 +93,7 @@
 		return;
 	a = g_hash_table_lookup(c->agents, h->name);
 	if (a == NULL) {
+		coord_note_replaced(c, now, h->name, h->incarnation);
 		a = xcalloc(1, sizeof(*a));
 		a->name = xstrdup(h->name);
 		g_hash_table_insert(c->agents, a->name, a);
@@ -213,8 +214,9 @@
 /* A message of an agent. */
 void agent_message(struct coord *c, int64_t now, struct coord_agent *a, const struct msg *m)
 {
-	if (now - a->last_seen > COORD_SUSPECT && a->has_worker && a->serving)
+	if (a->suspected && a->inventory && a->has_worker && a->serving)
 		sched_worker_drain(c->sched, a->worker, false);
+	a->suspected = false;
 	a->last_seen = now;
 	switch (m->kind) {
 	case MSG_REPORT:
@@ -260,6 +262,7 @@
 
 		if (a->dead || silent < COORD_SUSPECT)
 			continue;
+		a->suspected = true;
 		if (a->has_worker && silent < COORD_DEAD_AFTER) {
 			sched_worker_drain(c->sched, a->worker, true);
 			continue;
--- a/packages/coordination/coord-private.h
+++ b/packages/coordination/coord-private.h
@@ -29,6 +29,7 @@
 	bool inventory;
 	bool serving;
 	bool dead;
+	bool suspected;
 	int64_t last_seen;
 	uint32_t busy;
 	uint32_t usage_percent;
@@ -126,6 +127,7 @@
 };
 
 /* coord.c */
+void coord_note_replaced(struct coord *c, int64_t now, const char *name, uint64_t incarnation);
 void coord_note_gone(struct coord *c, int64_t now, const struct coord_agent *a);
 int64_t coord_wall(const struct coord *c, int64_t now);
 void coord_audit(struct coord *c, int64_t now, const char *what, const char *who,
--- a/packages/coordination/coord-run.c
+++ b/packages/coordination/coord-run.c
@@ -45,7 +45,8 @@
 		.start = j->size == 1,
 		.roster = (char *)roster,
 		.checkpoint = j->checkpoint};
-	m->sent = coord_send(c, m->agent->peer, &out);
+	/* Before its inventory an agent gets nothing, or the inventory would prove nothing. */
+	m->sent = m->agent->inventory && coord_send(c, m->agent->peer, &out);
 	m->told = m->sent && j->size == 1;
 }
 
@@ -125,13 +126,17 @@
 	run_dispatch(c, now, j);
 }
 
-/* The core wants a job stopped. */
+/* The core wants a job stopped, perhaps before its attempt was sent anywhere. */
 static void on_stop(
 	struct coord *c, int64_t now, struct coord_job *j, const struct sched_action *a)
 {
 	if (a->stop.why == SCHED_STOP_PREEMPTED)
 		coord_audit(c, now, "job.preempt", j->spec.org, j->spec.id,
 			"its accelerators were claimed by their owner");
+	if (j->attempt != a->attempt) {
+		sched_reserve_failed(c->sched, now, j->ref, a->attempt);
+		return;
+	}
 	if (!j->dispatched && !j->started) {
 		abort_attempt(c, now, j);
 		return;
--- a/packages/coordination/coord-settle.c
+++ b/packages/coordination/coord-settle.c
@@ -155,6 +155,12 @@
 	return true;
 }
 
+/* Whether all members of a gang were found; one that was not may have started. */
+static bool is_whole(const GPtrArray *group)
+{
+	return group->len == ((struct coord_found *)group->pdata[0])->record.size;
+}
+
 /* Release the reservations of a group. */
 static void release_group(struct coord *c, const GPtrArray *group)
 {
@@ -185,8 +191,8 @@
 	struct sched_member members[SCHED_MEMBERS_MAX] = {0};
 	const struct coord_found *first = group->pdata[0];
 	uint32_t len = MIN(group->len, (guint)SCHED_MEMBERS_MAX);
+	bool whole = is_whole(group);
 	int64_t running = 0;
-	bool whole;
 
 	for (uint32_t i = 0; i < len; i++) {
 		const struct coord_found *f = group->pdata[i];
@@ -200,7 +206,6 @@
 			.reserved = true,
 			.told = true};
 	}
-	whole = len == first->record.size;
 	j->size = len;
 	j->attempt = first->record.attempt;
 	j->record_attempt = j->attempt;
@@ -249,8 +254,9 @@
 		}
 	} else if (none_started(group)) {
 		release_group(c, group);
-		j->undecided = false;
-		job_submit_core(c, now, j);
+		j->undecided = !is_whole(group) && !j->spec.idempotent;
+		if (!j->undecided)
+			job_submit_core(c, now, j);
 	} else if (has_workers(group)) {
 		adopt_group(c, now, j, group);
 	} else {
--- a/packages/coordination/coord.c
+++ b/packages/coordination/coord.c
@@ -84,6 +84,34 @@
 	g_ptr_array_add(c->gone, g);
 }
 
+/* An agent introduced itself for the first time in this term: its old incarnation is no more.
+ */
+void coord_note_replaced(struct coord *c, int64_t now, const char *name, uint64_t incarnation)
+{
+	const uint64_t *old = g_hash_table_lookup(c->old_roster, name);
+
+	if (old != NULL && *old != incarnation)
+		add_gone(c, name, *old, coord_wall(c, now) / NSEC_PER_MSEC);
+}
+
+/* Agents of the term before that have not come in all the time: they are no more. */
+static void give_up_missing(struct coord *c, int64_t now)
+{
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	if (now - c->began < COORD_DEAD_AFTER)
+		return;
+	g_hash_table_iter_init(&it, c->old_roster);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		if (g_hash_table_contains(c->agents, key))
+			continue;
+		add_gone(c, key, *(uint64_t *)value, coord_wall(c, now) / NSEC_PER_MSEC);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
 /* An agent died or restarted: what its old incarnation ran, nobody can tell any more. */
 void coord_note_gone(struct coord *c, int64_t now, const struct coord_agent *a)
 {
@@ -301,6 +329,7 @@
 	agent_sweep(c, now);
 	run_sweep(c, now);
 	job_expire(c, now);
+	give_up_missing(c, now);
 	trim_gone(c);
 	coord_run(c, now);
 	if (now - c->last_summary >= SUMMARY_PERIOD)
@@ -313,13 +342,14 @@
 }
 
 /*
- * The names and incarnations of all agents that are not dead, and of those that were not long
- * ago; see parse_roster.
+ * The names and incarnations of all agents that are not dead, of those of the term before that
+ * have not come yet, and of those that were not long ago; see parse_roster.
  */
 char *coord_roster(const struct coord *c)
 {
 	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter it;
+	gpointer key;
 	gpointer value;
 	char *text;
 
@@ -331,6 +361,12 @@
 			g_ptr_array_add(
 				names, g_strdup_printf("%s/%" PRIx64, a->name, a->incarnation));
 	}
+	g_hash_table_iter_init(&it, c->old_roster);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		if (!g_hash_table_contains(c->agents, key))
+			g_ptr_array_add(names, g_strdup_printf("%s/%" PRIx64, (char *)key,
+						       *(uint64_t *)value));
+	}
 	for (guint i = 0; i < c->gone->len; i++) {
 		const struct coord_gone *g = c->gone->pdata[i];
 
--- a/packages/coordination/sched-check.c
+++ b/packages/coordination/sched-check.c
@@ -25,8 +25,7 @@
 			at->jobs++;
 			res_add(j->state == SCHED_JOB_CLAIMING ? &at->pending : &at->used,
 				&mb->need);
-			if (j->charged || !job_stoppable(j))
-				res_add(&at->firm, &mb->need);
+			res_add(&at->firm, &mb->firm);
 		}
 	}
 	return sums;
@@ -44,10 +43,8 @@
 	for (uint32_t o = 0; o < s->orgs->len; o++) {
 		held += org_left(s, o, at);
 	}
-	if (memcmp(&sum->used, &w->used, sizeof(w->used)) != 0 ||
-		memcmp(&sum->pending, &w->pending, sizeof(w->pending)) != 0 ||
-		memcmp(&sum->firm, &w->firm, sizeof(w->firm)) != 0 || sum->jobs != w->jobs ||
-		held != w->held)
+	if (!res_equal(&sum->used, &w->used) || !res_equal(&sum->pending, &w->pending) ||
+		!res_equal(&sum->firm, &w->firm) || sum->jobs != w->jobs || held != w->held)
 		xasprintf(&out, "worker %s: the books do not agree with the jobs", w->name);
 	else if (w->up && !res_fits(&w->used, &w->capacity))
 		xasprintf(&out, "worker %s: more is used than there is", w->name);
--- a/packages/coordination/sched-claim.c
+++ b/packages/coordination/sched-claim.c
@@ -235,15 +235,16 @@
 	bool found = false;
 
 	for (uint32_t w = 0; w < s->workers->len; w++) {
-		if (claim_room(s, now, j, c, w, -1) < j->accelerators)
+		if (claim_room(s, now, j, c, w, -1) < MAX(j->accelerators, 1u))
 			continue;
 		found = true;
 		keep_cheaper(best, have, c, claim_part(s, now, j, c, w, j->accelerators));
 	}
-	for (uint32_t r = 0; !found && j->adjacency != ADJACENCY_WORKER && r < s->racks->len;
-		r++)
+	if (found || j->accelerators < 2)
+		return;
+	for (uint32_t r = 0; j->adjacency != ADJACENCY_WORKER && r < s->racks->len; r++)
 		keep_cheaper(best, have, c, claim_spread(s, now, j, (int)r, c));
-	if (!found && !*have && j->adjacency == ADJACENCY_ANY)
+	if (!*have && j->adjacency == ADJACENCY_ANY)
 		keep_cheaper(best, have, c, claim_spread(s, now, j, -1, c));
 }
 
--- a/packages/coordination/sched-fit.c
+++ b/packages/coordination/sched-fit.c
@@ -37,9 +37,8 @@
 {
 	for (uint32_t n = max; n > 0; n--) {
 		struct sched_res need = res_need(j, n);
-		struct sched_res share = res_share(&w->capacity, n);
 
-		if (res_fits(&need, &share))
+		if (share_covers(w, &need, n))
 			return n;
 	}
 	return 0;
@@ -317,7 +316,7 @@
 	worker = best_worker(s, &f, j, -1, j->accelerators, mode);
 	if (worker >= 0) {
 		ok = add_member(j, out, (uint32_t)worker, j->accelerators);
-	} else if (j->adjacency != ADJACENCY_WORKER) {
+	} else if (j->adjacency != ADJACENCY_WORKER && j->accelerators > 1) {
 		rack = best_rack(s, &f, j);
 		if (rack >= 0 || j->adjacency == ADJACENCY_ANY)
 			ok = spread(s, &f, j, rack, j->accelerators, mode, out);
--- a/packages/coordination/sched-hold.c
+++ b/packages/coordination/sched-hold.c
@@ -145,6 +145,51 @@
 	return part;
 }
 
+/* Accelerators of a member that are charged. */
+static uint32_t charged_part(const struct sched_job *j, const struct sched_member *m)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; j->charges != NULL && i < j->charges->len; i++) {
+		const struct sched_charge *c =
+			&g_array_index(j->charges, struct sched_charge, i);
+
+		n += c->worker == m->worker ? c->accelerators : 0;
+	}
+	return n;
+}
+
+/* Take a job's firm use out of the books. */
+void firm_clear(struct sched *s, struct sched_job *j)
+{
+	for (uint32_t i = 0; i < j->members_len; i++) {
+		struct sched_member *m = &j->members[i];
+
+		res_sub(&sched_worker_at(s, m->worker)->firm, &m->firm);
+		memset(&m->firm, 0, sizeof(m->firm));
+	}
+}
+
+/*
+ * Enter a job's firm use anew. A charged member counts with the whole share of what it is
+ * charged, so that the share is there again when the hold is unused.
+ */
+void firm_update(struct sched *s, struct sched_job *j)
+{
+	firm_clear(s, j);
+	for (uint32_t i = 0; (j->charged || !job_stoppable(j)) && i < j->members_len; i++) {
+		struct sched_member *m = &j->members[i];
+		struct sched_worker *w = sched_worker_at(s, m->worker);
+		struct sched_res share = res_share(&w->capacity, charged_part(j, m));
+
+		m->firm = m->need;
+		m->firm.slots = MAX(m->firm.slots, share.slots);
+		m->firm.cores = MAX(m->firm.cores, share.cores);
+		m->firm.memory_mb = MAX(m->firm.memory_mb, share.memory_mb);
+		res_add(&w->firm, &m->firm);
+	}
+}
+
 /* Charge all of a hold to a job that covers it. */
 void hold_charge_all(struct sched *s, struct sched_job *j, struct sched_hold *h)
 {
@@ -156,6 +201,7 @@
 		charge_some(s, j, h, p->worker, p->accelerators);
 	}
 	j->charged = true;
+	firm_update(s, j);
 }
 
 /* The hold of a job's organisation on a worker with the least unused; NULL for none. */
@@ -196,6 +242,7 @@
 		}
 	}
 	j->charged = true;
+	firm_update(s, j);
 }
 
 /* Give one charge back. */
@@ -255,11 +302,7 @@
 			queue_add(s, j->claim_at, j);
 			continue;
 		}
-		if (j->charges->len > 0)
-			continue;
-		j->charged = false;
-		for (uint32_t m = 0; job_stoppable(j) && m < j->members_len; m++)
-			res_sub(&sched_worker_at(s, j->members[m].worker)->firm,
-				&j->members[m].need);
+		j->charged = j->charges->len > 0;
+		firm_update(s, j);
 	}
 }
--- a/packages/coordination/sched-plan.c
+++ b/packages/coordination/sched-plan.c
@@ -401,27 +401,13 @@
 {
 	for (uint32_t i = 0; i < j->members_len; i++) {
 		const struct sched_worker *w = sched_worker_at(s, j->members[i].worker);
-		struct sched_res share = res_share(&w->capacity, j->members[i].accelerators);
 
-		if (!w->up || !res_fits(&j->members[i].need, &share))
+		if (!w->up || !share_covers(w, &j->members[i].need, j->members[i].accelerators))
 			return false;
 	}
 	return j->accelerators > 0 && j->members_len > 0;
 }
 
-/* Enter or remove a job's firm use. */
-static void move_firm(struct sched *s, const struct sched_job *j, bool enter)
-{
-	for (uint32_t i = 0; i < j->members_len; i++) {
-		struct sched_worker *w = sched_worker_at(s, j->members[i].worker);
-
-		if (enter)
-			res_add(&w->firm, &j->members[i].need);
-		else
-			res_sub(&w->firm, &j->members[i].need);
-	}
-}
-
 /* Take a job's members out of the rooms as the first pieces; false where they do not fit. */
 static bool take_members(const struct sched_job *j, GArray *rooms, GArray *pieces)
 {
@@ -458,20 +444,18 @@
 {
 	g_autoptr(GArray) pieces = g_array_new(FALSE, TRUE, sizeof(struct pack_piece));
 	g_autoptr(GArray) rooms = NULL;
-	bool firm = !job_stoppable(j);
 	bool ok;
 
-	if (firm)
-		move_firm(s, j, false);
+	firm_clear(s, j);
 	rooms = hold_rooms(s);
 	ok = take_members(j, rooms, pieces);
 	if (ok)
 		keep_near(s, h, j->members[0].worker, rooms);
 	ok = ok && place_rest(s, h, h->accelerators - j->accelerators, rooms, pieces);
-	if (ok || firm)
-		move_firm(s, j, true);
 	if (ok)
 		hold_charge(s, j, h);
+	else
+		firm_update(s, j);
 	return ok;
 }
 
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -126,9 +126,11 @@
 /* sched-res.c */
 void res_add(struct sched_res *a, const struct sched_res *b);
 void res_sub(struct sched_res *a, const struct sched_res *b);
+bool res_equal(const struct sched_res *a, const struct sched_res *b);
 bool res_fits(const struct sched_res *need, const struct sched_res *room);
 struct sched_res res_share(const struct sched_res *capacity, uint32_t accelerators);
 struct sched_res res_need(const struct sched_job *j, uint32_t accelerators);
+bool share_covers(const struct sched_worker *w, const struct sched_res *need, uint32_t n);
 struct sched_res worker_free(const struct sched_worker *w);
 struct sched_res worker_firm_room(const struct sched_worker *w);
 uint32_t room_count(const struct sched_job *j, const struct sched_res *room);
@@ -147,6 +149,8 @@
 void hold_charge(struct sched *s, struct sched_job *j, struct sched_hold *first);
 void hold_charge_all(struct sched *s, struct sched_job *j, struct sched_hold *h);
 void hold_uncharge(struct sched *s, struct sched_job *j);
+void firm_update(struct sched *s, struct sched_job *j);
+void firm_clear(struct sched *s, struct sched_job *j);
 void hold_drop_charges(struct sched *s, struct sched_hold *h);
 
 /* sched-plan.c: places for guaranteed shapes. */
--- a/packages/coordination/sched-res.c
+++ b/packages/coordination/sched-res.c
@@ -18,6 +18,13 @@
 	a->memory_mb -= b->memory_mb;
 }
 
+/* Whether two amounts are the same. */
+bool res_equal(const struct sched_res *a, const struct sched_res *b)
+{
+	return a->accelerators == b->accelerators && a->slots == b->slots &&
+	       a->cores == b->cores && a->memory_mb == b->memory_mb;
+}
+
 /* Whether each amount is covered. */
 bool res_fits(const struct sched_res *need, const struct sched_res *room)
 {
@@ -25,21 +32,34 @@
 	       need->cores <= room->cores && need->memory_mb <= room->memory_mb;
 }
 
-/* The proportional part of a worker that goes with some of its accelerators, rounded down. */
+/*
+ * The part of a worker that goes with some of its accelerators: so many times the whole units
+ * that each of them has. It is additive, so that books of parts add up.
+ */
 struct sched_res res_share(const struct sched_res *capacity, uint32_t accelerators)
 {
-	int64_t n = accelerators;
-	int64_t all = capacity->accelerators;
-	struct sched_res r = {.accelerators = (int32_t)n};
+	int32_t n = (int32_t)accelerators;
+	int32_t all = capacity->accelerators;
+	struct sched_res r = {.accelerators = n};
 
 	if (all <= 0)
 		return r;
-	r.slots = (int32_t)(capacity->slots * n / all);
-	r.cores = (int32_t)(capacity->cores * n / all);
-	r.memory_mb = capacity->memory_mb * n / all;
+	r.slots = capacity->slots / all * n;
+	r.cores = capacity->cores / all * n;
+	r.memory_mb = capacity->memory_mb / all * n;
 	return r;
 }
 
+/* Whether the share of n accelerators covers a need; where slots are few they do not count. */
+bool share_covers(const struct sched_worker *w, const struct sched_res *need, uint32_t n)
+{
+	struct sched_res share = res_share(&w->capacity, n);
+
+	if (w->capacity.slots < w->capacity.accelerators)
+		share.slots = need->slots;
+	return res_fits(need, &share);
+}
+
 /* What a member with some of a job's accelerators needs, rounded up. */
 struct sched_res res_need(const struct sched_job *j, uint32_t accelerators)
 {
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -154,38 +154,6 @@
 	}
 }
 
-/* Adopt a document. */
-void sched_set_doc(struct sched *s, int64_t now, const struct doc *d, const char *cell)
-{
-	const struct doc_org *o;
-	const struct doc_class *c;
-
-	s->grace = d->grace;
-	s->weight = d->weight_completion;
-	s->queue_max = d->queue_max;
-	set_topology(s, d, cell);
-	g_hash_table_remove_all(s->class_max);
-	STAILQ_FOREACH(c, &d->classes, entry)
-	{
-		if (c->queue_max > 0)
-			g_hash_table_insert(s->class_max, GUINT_TO_POINTER(c->priority),
-				GUINT_TO_POINTER(c->queue_max));
-	}
-	for (uint32_t i = 0; i < s->orgs->len; i++)
-		sched_org_at(s, i)->present = false;
-	STAILQ_FOREACH(o, &d->orgs, entry)
-	{
-		struct sched_org *org = sched_org_at(s, find_org(s, o->name));
-
-		org->present = true;
-		org->quota_accelerators = o->quota_accelerators;
-		org->quota_jobs = o->quota_jobs;
-	}
-	if (s->policy == SCHED_POLICY_FULL)
-		plan_set_holds(s, now, d);
-	s->dirty = true;
-}
-
 /* A worker is there, or came back; its handle stays the same under one name. */
 uint32_t sched_worker_up(struct sched *s, int64_t now, const struct sched_worker_spec *spec)
 {
@@ -200,7 +168,7 @@
 		at = s->workers->len - 1;
 	}
 	w = sched_worker_at(s, at);
-	if (w->up && memcmp(&w->capacity, &spec->capacity, sizeof(w->capacity)) != 0)
+	if (w->up && !res_equal(&w->capacity, &spec->capacity))
 		sched_worker_down(s, now, at);
 	w->rack = find_rack(s, spec->rack);
 	w->capacity = spec->capacity;
@@ -249,8 +217,6 @@
 void sched_take(struct sched *s, struct sched_job *j, const struct fit *f, bool charged,
 	struct sched_hold *hold, bool pending)
 {
-	bool firm = charged || !job_stoppable(j);
-
 	memcpy(j->members, f->members, f->len * sizeof(f->members[0]));
 	j->members_len = f->len;
 	for (uint32_t i = 0; i < j->members_len; i++) {
@@ -258,8 +224,6 @@
 		struct sched_worker *w = sched_worker_at(s, m->worker);
 
 		res_add(pending ? &w->pending : &w->used, &m->need);
-		if (firm)
-			res_add(&w->firm, &m->need);
 		w->jobs++;
 		if (w->quarantined)
 			w->probing = true;
@@ -267,22 +231,22 @@
 	}
 	if (charged)
 		hold_charge(s, j, hold);
+	else
+		firm_update(s, j);
 	g_ptr_array_add(s->active, j);
 }
 
 /* Take a job's members out again. */
 void sched_give_back(struct sched *s, struct sched_job *j)
 {
-	bool firm = j->charged || !job_stoppable(j);
 	bool pending = j->state == SCHED_JOB_CLAIMING;
 
+	firm_clear(s, j);
 	for (uint32_t i = 0; i < j->members_len; i++) {
 		struct sched_member *m = &j->members[i];
 		struct sched_worker *w = sched_worker_at(s, m->worker);
 
 		res_sub(pending ? &w->pending : &w->used, &m->need);
-		if (firm)
-			res_sub(&w->firm, &m->need);
 		w->jobs--;
 		if (w->jobs == 0)
 			w->probing = false;
@@ -435,6 +399,23 @@
 	return sum;
 }
 
+/*
+ * Whether a job that cannot be stopped has no place even in an empty cell, as all of it is
+ * guaranteed to others.
+ */
+static bool is_crowded_out(const struct sched *s, const struct sched_job *j)
+{
+	const struct sched_org *o = sched_org_at(s, j->org);
+	uint32_t others = guaranteed_to_others(s, j->org);
+	uint32_t all = topology_max(s, ADJACENCY_ANY);
+
+	if (s->policy != SCHED_POLICY_FULL || s->declared_workers == 0 || job_stoppable(j))
+		return false;
+	if (j->accelerators == 0)
+		return o->guaranteed + others >= all;
+	return j->accelerators > o->guaranteed && j->accelerators + others > all;
+}
+
 /* Refuse a job that can never run, or that finds the queues full; false if it was refused. */
 static bool admit(struct sched *s, struct sched_job *j)
 {
@@ -453,10 +434,7 @@
 		sched_end(s, j, OUTCOME_NOT_RUN, ERR_QUOTA, true,
 			"%u accelerators were asked for; the quota is %u", j->accelerators,
 			o->quota_accelerators);
-	else if (s->policy == SCHED_POLICY_FULL && s->declared_workers > 0 &&
-		 !job_stoppable(j) && j->accelerators > o->guaranteed &&
-		 j->accelerators + guaranteed_to_others(s, j->org) >
-			 topology_max(s, ADJACENCY_ANY))
+	else if (is_crowded_out(s, j))
 		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, true,
 			"a job that cannot be stopped needs its own guarantee or capacity that "
 			"nobody is guaranteed; %u accelerators of that kind there will never "
@@ -473,6 +451,57 @@
 	return false;
 }
 
+/* End the waiting jobs that a new document leaves no place for. */
+static void refuse_crowded_out(struct sched *s)
+{
+	g_autoptr(GPtrArray) out = g_ptr_array_new();
+
+	for (GTreeNode *n = g_tree_node_first(s->queue); n != NULL; n = g_tree_node_next(n)) {
+		if (is_crowded_out(s, g_tree_node_key(n)))
+			g_ptr_array_add(out, g_tree_node_key(n));
+	}
+	for (guint i = 0; i < out->len; i++) {
+		struct sched_job *j = out->pdata[i];
+
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, !j->may_run,
+			"the configuration changed: all that could take the job is guaranteed "
+			"to others");
+	}
+}
+
+/* Adopt a document. */
+void sched_set_doc(struct sched *s, int64_t now, const struct doc *d, const char *cell)
+{
+	const struct doc_org *o;
+	const struct doc_class *c;
+
+	s->grace = d->grace;
+	s->weight = d->weight_completion;
+	s->queue_max = d->queue_max;
+	set_topology(s, d, cell);
+	g_hash_table_remove_all(s->class_max);
+	STAILQ_FOREACH(c, &d->classes, entry)
+	{
+		if (c->queue_max > 0)
+			g_hash_table_insert(s->class_max, GUINT_TO_POINTER(c->priority),
+				GUINT_TO_POINTER(c->queue_max));
+	}
+	for (uint32_t i = 0; i < s->orgs->len; i++)
+		sched_org_at(s, i)->present = false;
+	STAILQ_FOREACH(o, &d->orgs, entry)
+	{
+		struct sched_org *org = sched_org_at(s, find_org(s, o->name));
+
+		org->present = true;
+		org->quota_accelerators = o->quota_accelerators;
+		org->quota_jobs = o->quota_jobs;
+	}
+	if (s->policy == SCHED_POLICY_FULL)
+		plan_set_holds(s, now, d);
+	refuse_crowded_out(s);
+	s->dirty = true;
+}
+
 /* A new job. It may be ended at once by an action. */
 job_ref sched_submit(struct sched *s, int64_t now, const struct job_spec *spec, void *owner)
 {
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -75,6 +75,7 @@
 	uint32_t worker;
 	uint32_t accelerators;
 	struct sched_res need;
+	struct sched_res firm;
 	bool ended;
 	enum member_end end;
 };
--- a/tests/property/main.cc
+++ b/tests/property/main.cc
@@ -12,6 +12,7 @@
 	prop_pack();
 	prop_protocol();
 	prop_sched();
+	prop_gang();
 	printf("properties: %d passed, %d failed\n", prop_passed, prop_failed);
 	return prop_failed == 0 ? 0 : 1;
 }
--- a/tests/property/prop-sched.cc
+++ b/tests/property/prop-sched.cc
@@ -106,6 +106,8 @@
 			f.open[a.job].clear();
 			for (uint32_t i = 0; i < j->members_len; i++)
 				f.open[a.job].insert(i);
+		} else if (a.kind == SCHED_STOP && f.placed.count(a.job) == 0) {
+			sched_reserve_failed(f.s, f.now, a.job, a.attempt);
 		} else if (a.kind == SCHED_END) {
 			RC_ASSERT(f.ended[f.names[a.job]]++ == 0);
 			if (a.end.not_run)
--- /dev/null
+++ b/tests/unit/main.c
@@ -0,0 +1,19 @@
+#include "unit.h"
+
+#include "base.h"
+
+int main(void)
+{
+	unsigned int failed;
+
+	log_set_level(LOG_LEVEL_ERROR);
+	CU_initialize_registry();
+	unit_base(CU_add_suite("base", NULL, NULL));
+	unit_state(CU_add_suite("state", NULL, NULL));
+	unit_agent(CU_add_suite("agent", NULL, NULL));
+	CU_basic_set_mode(CU_BRM_NORMAL);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failed > 0;
+}
--- /dev/null
+++ b/tests/unit/unit.h
@@ -0,0 +1,10 @@
+#ifndef DP_UNIT_H
+#define DP_UNIT_H
+
+#include <CUnit/Basic.h>
+
+void unit_base(CU_pSuite s);
+void unit_state(CU_pSuite s);
+void unit_agent(CU_pSuite s);
+
+#endif
