--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -198,6 +198,10 @@
 void queue_remove(struct sched *s, struct sched_job *j);
 void queue_pass(struct sched *s, int64_t now);
 
+/* sched-admit.c */
+bool admit_job(struct sched *s, struct sched_job *j);
+void admit_again(struct sched *s);
+
 /* sched-learn.c */
 int64_t learn_estimate(struct sched *s, const struct sched_job *j);
 void learn_sample(struct sched *s, const struct sched_job *j, int64_t actual);
--- a/packages/daemon/agent-host.c
+++ b/packages/daemon/agent-host.c
@@ -148,24 +148,6 @@
 	work_free(w);
 }
 
-/* Copy a snapshot, so that the pool can bring it up to date. */
-static void copy_snapshot(struct config_snapshot *to, const struct config_snapshot *from)
-{
-	*to = *from;
-	if (from->sections == NULL)
-		return;
-	to->sections = g_ptr_array_new_with_free_func(doc_section_free);
-	for (guint i = 0; i < from->sections->len; i++) {
-		const struct doc_section *s = from->sections->pdata[i];
-		struct doc_section *copy = xcalloc(1, sizeof(*copy));
-
-		*copy = *s;
-		copy->name = xstrdup(s->name);
-		copy->text = xstrdup(s->text);
-		g_ptr_array_add(to->sections, copy);
-	}
-}
-
 /* Read the configuration if it changed. */
 static void config_run(void *arg)
 {
@@ -208,7 +190,7 @@
 		h->loading = true;
 		h->config_checked = now;
 		w = work_new(a);
-		copy_snapshot(&w->config, &h->config);
+		config_snapshot_copy(&w->config, &h->config);
 		work_submit(a->p->pool, config_run, config_done, w);
 	}
 	if (now < h->write_after)
--- a/packages/daemon/entry-config.c
+++ b/packages/daemon/entry-config.c
@@ -53,24 +53,6 @@
 	free(v);
 }
 
-/* Copy the sections of the present view, to bring them up to date. */
-static void copy_config(struct config_snapshot *to, const struct entry_view *from)
-{
-	if (from == NULL || from->config.sections == NULL)
-		return;
-	*to = from->config;
-	to->sections = g_ptr_array_new_with_free_func(doc_section_free);
-	for (guint i = 0; i < from->config.sections->len; i++) {
-		const struct doc_section *s = from->config.sections->pdata[i];
-		struct doc_section *copy = xcalloc(1, sizeof(*copy));
-
-		*copy = *s;
-		copy->name = xstrdup(s->name);
-		copy->text = xstrdup(s->text);
-		g_ptr_array_add(to->sections, copy);
-	}
-}
-
 /* Take one live key into a view. */
 static void read_live_key(struct entry_view *v, const struct store_kv *kv)
 {
@@ -180,7 +162,8 @@
 	r->entry = e;
 	r->view = xcalloc(1, sizeof(*r->view));
 	r->view->cells = g_ptr_array_new_with_free_func(cell_free);
-	copy_config(&r->view->config, e->view);
+	if (e->view != NULL)
+		config_snapshot_copy(&r->view->config, &((struct entry_view *)e->view)->config);
 	work_submit(e->p->pool, read_run, read_done, r);
 }
 
--- a/packages/state/config-store.c
+++ b/packages/state/config-store.c
@@ -38,6 +38,24 @@
 	memset(c, 0, sizeof(*c));
 }
 
+/* Copy a snapshot, so that another thread can bring the copy up to date. */
+void config_snapshot_copy(struct config_snapshot *to, const struct config_snapshot *from)
+{
+	*to = *from;
+	if (from->sections == NULL)
+		return;
+	to->sections = g_ptr_array_new_with_free_func(doc_section_free);
+	for (guint i = 0; i < from->sections->len; i++) {
+		const struct doc_section *s = from->sections->pdata[i];
+		struct doc_section *copy = xcalloc(1, sizeof(*copy));
+
+		*copy = *s;
+		copy->name = xstrdup(s->name);
+		copy->text = xstrdup(s->text);
+		g_ptr_array_add(to->sections, copy);
+	}
+}
+
 /* Read one key as JSON; NULL where it is absent or an error is set. */
 static json_t *read_json(struct store *s, const char *key, int64_t *mod_revision, GError **err)
 {
--- a/packages/state/state.h
+++ b/packages/state/state.h
@@ -238,6 +238,7 @@
 };
 bool config_load(struct store *s, struct config_snapshot *io, GError **err);
 void config_snapshot_clear(struct config_snapshot *c);
+void config_snapshot_copy(struct config_snapshot *to, const struct config_snapshot *from);
 const struct doc_section *config_find(const struct config_snapshot *c, const char *section);
 bool config_put(struct store *s, const struct config_edit *edit, uint64_t *number,
 	struct doc_problems *problems, struct doc_section *current, GError **err);
