sched: displacement of borrowers without a guarantee is thrown away

Cause: with declarations off by tenfold, stopping a borrower for a shorter job cost more than it saved. Change: the code of the try is removed; attempts of jobs that an earlier term may have seen get numbers that term cannot have used (a scenario under the sanitizer showed two terms using attempt 1 of one job).

--- a/packages/coordination/coord-job.c
+++ b/packages/coordination/coord-job.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A job that an earlier term may have seen gets attempt numbers that term cannot have used. */
+#define ATTEMPT_TERM_SHIFT 8
+
 COUNTER(jobs_submitted, "damaskpath_jobs_submitted_total",
 	"Jobs that came to this coordinator.");
 COUNTER(jobs_repeated, "damaskpath_jobs_repeated_total",
@@ -140,6 +143,8 @@
 	}
 	counter_add(&jobs_submitted, 1);
 	j = job_add(c, now, &m->spec);
+	if (m->again)
+		j->record_attempt = (uint32_t)c->term << ATTEMPT_TERM_SHIFT;
 	if (m->wait)
 		add_waiter(j, peer);
 	if (m->again && !m->spec.idempotent && m->last_term < c->term &&
--- a/packages/coordination/sched-claim.c
+++ b/packages/coordination/sched-claim.c
@@ -9,10 +9,8 @@
  * they are gone. The wait is bounded by the grace time of a stop.
  */
 
-#define RESTART_COST   (2 * NSEC_PER_SEC)
-#define SLICE	       (60 * NSEC_PER_SEC)
-#define SHORTER_FACTOR 4
-#define LOSS_PART      0.25
+#define RESTART_COST (2 * NSEC_PER_SEC)
+#define SLICE	     (60 * NSEC_PER_SEC)
 
 struct victim {
 	struct sched_job *job;
@@ -54,33 +52,11 @@
 /* Whether a job on a worker may be taken as a victim, or is going already. */
 static bool is_borrower(const struct sched_job *j)
 {
-	return !j->charged && job_stoppable(j) && j->state != SCHED_JOB_QUEUED &&
-	       j->state != SCHED_JOB_ENDED;
-}
-
-/*
- * Whether a job that waits may take the place of a borrower without a guarantee: a much
- * shorter job may, and any that has waited for as long as the borrower has had its slice.
- */
-static bool may_displace(const struct sched_job *j, const struct sched_job *v, int64_t now)
-{
-	int64_t ran = v->started_at > 0 ? now - v->started_at : 0;
-	int64_t left = learn_expected_end(v, now) - now;
-
-	if (v->state == SCHED_JOB_STOPPING)
-		return true;
-	if (v->state != SCHED_JOB_RUNNING || v->urgent || (!v->checkpoint && ran > SLICE / 4))
-		return false;
-	if (v->checkpoint && ran < SLICE / 2)
-		return false;
-	if (j->estimate * SHORTER_FACTOR < left)
-		return true;
-	return ran >= SLICE && now - j->submitted >= SLICE && j->accelerators > 1;
+	return !j->charged && job_stoppable(j) && j->state != SCHED_JOB_CLAIMING;
 }
 
 /* Borrowers of a worker, cheapest per freed accelerator first. */
-static GArray *list_victims(
-	const struct sched *s, int64_t now, uint32_t worker, const struct sched_job *displacer)
+static GArray *list_victims(const struct sched *s, int64_t now, uint32_t worker)
 {
 	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct victim));
 
@@ -88,13 +64,13 @@
 		struct sched_job *j = s->active->pdata[i];
 		struct victim v = {.job = j};
 
-		if (!is_borrower(j) || (displacer != NULL && !may_displace(displacer, j, now)))
+		if (!is_borrower(j))
 			continue;
 		v.here = used_on(j, worker);
 		if (v.here.slots == 0)
 			continue;
 		v.cost = work_lost(j, now) / MAX(v.here.accelerators, 1);
-		if (j->state == SCHED_JOB_STOPPING || j->state == SCHED_JOB_CLAIMING)
+		if (j->state == SCHED_JOB_STOPPING)
 			v.cost = -1;
 		g_array_append_val(list, v);
 	}
@@ -114,11 +90,10 @@
 
 /* Choose victims so that need fits on a worker; false where that cannot be. */
 static bool choose_victims(const struct sched *s, int64_t now, uint32_t worker,
-	const struct sched_res *need, const struct sched_job *displacer, GPtrArray *victims,
-	double *cost)
+	const struct sched_res *need, GPtrArray *victims, double *cost)
 {
 	struct sched_res room = worker_free(sched_worker_at(s, worker));
-	GArray *list = list_victims(s, now, worker, displacer);
+	GArray *list = list_victims(s, now, worker);
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct victim *v = &g_array_index(list, struct victim, i);
@@ -143,7 +118,6 @@
 /* A place for a claim with what it costs to clear it; hold NULL: over several holds. */
 struct claim {
 	struct fit fit;
-	enum fit_mode mode;
 	struct sched_hold *hold;
 	GPtrArray *victims;
 	double cost;
@@ -162,8 +136,7 @@
 	m->worker = worker;
 	m->accelerators = n;
 	m->need = res_need(j, n);
-	return choose_victims(s, now, worker, &m->need, c->mode == FIT_CHARGED ? NULL : j,
-		c->victims, &c->cost);
+	return choose_victims(s, now, worker, &m->need, c->victims, &c->cost);
 }
 
 /* Room within the guarantee on the workers of a rack, -1 for all. */
@@ -175,7 +148,7 @@
 	if (!at->up || at->draining || (rack >= 0 && at->rack != (uint32_t)rack) ||
 		!health_allows(at, j, now))
 		return 0;
-	return fit_room(s, j, w, c->mode, c->hold);
+	return fit_room(s, j, w, FIT_CHARGED, c->hold);
 }
 
 /* Try to place a claim over the workers of a rack: most room first, the last part tightly. */
@@ -293,20 +266,16 @@
 		.victims = c->victims->len,
 		.expected = now + s->grace};
 	queue_remove(s, j);
-	sched_take(s, j, &c->fit, c->mode == FIT_CHARGED, c->hold, true);
+	sched_take(s, j, &c->fit, true, c->hold, true);
 	j->state = SCHED_JOB_CLAIMING;
 	j->claim_at = now;
 	s->counts.claims++;
 	for (guint i = 0; i < c->victims->len; i++) {
 		struct sched_job *v = c->victims->pdata[i];
 
-		if (v->state == SCHED_JOB_CLAIMING) {
-			sched_give_back(s, v);
-			queue_add(s, now, v);
-		} else if (v->state != SCHED_JOB_STOPPING) {
+		if (v->state != SCHED_JOB_STOPPING)
 			sched_order_stop(s, v, v->checkpoint ? STOP_CHECKPOINT : STOP_NOW,
 				SCHED_STOP_PREEMPTED);
-		}
 	}
 }
 
@@ -362,7 +331,7 @@
 	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
 {
 	g_autoptr(GPtrArray) list = list_holds(s, j);
-	struct claim c = {.mode = FIT_CHARGED, .victims = g_ptr_array_new()};
+	struct claim c = {.victims = g_ptr_array_new()};
 	bool started = false;
 
 	for (guint from = 0, to; !started && from < list->len; from = to) {
@@ -385,7 +354,7 @@
 static bool claim_over_holds(
 	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
 {
-	struct claim c = {.mode = FIT_CHARGED, .victims = g_ptr_array_new()};
+	struct claim c = {.victims = g_ptr_array_new()};
 	bool have = false;
 	bool started = start_in(s, now, j, NULL);
 
@@ -408,27 +377,6 @@
 	return started;
 }
 
-/*
- * Start a job that has no guarantee left on capacity of borrowers that should yield to it,
- * where that loses little work compared with its own.
- */
-bool claim_preempt(struct sched *s, int64_t now, struct sched_job *j)
-{
-	struct claim best = {.victims = g_ptr_array_new()};
-	struct claim c = {.mode = job_stoppable(j) ? FIT_BORROWED_CLEARED : FIT_FIRM_CLEARED,
-		.victims = g_ptr_array_new()};
-	double worth = (double)j->estimate / (double)NSEC_PER_SEC * MAX(j->accelerators, 1);
-	bool have = false;
-
-	find_in(s, now, j, &c, &best, &have);
-	have = have && best.cost <= LOSS_PART * MAX(worth, 1.0) + 10;
-	if (have)
-		start_claim(s, now, j, &best);
-	g_ptr_array_unref(c.victims);
-	g_ptr_array_unref(best.victims);
-	return have;
-}
-
 /* Whether all that a claim needs is free. */
 static bool is_cleared(const struct sched *s, const struct sched_job *j)
 {
--- a/packages/coordination/sched-queue.c
+++ b/packages/coordination/sched-queue.c
@@ -14,7 +14,6 @@
 #define TRIES_MAX	   400
 #define CLAIM_TRIES_MAX	   64
 #define RESERVATIONS_MAX   3
-#define PREEMPT_TRIES_MAX  16
 #define LARGE_ACCELERATORS 8
 
 /* Compare two queued jobs. */
@@ -298,7 +297,6 @@
 	GHashTable *failed = g_hash_table_new_full(g_int64_hash, g_int64_equal, free, NULL);
 	GArray *endings = NULL;
 	uint32_t reservations = 0;
-	uint32_t preempts = 0;
 	uint32_t tries = 0;
 	bool behind = false;
 
@@ -318,11 +316,6 @@
 			continue;
 		if (s->policy == SCHED_POLICY_FIFO)
 			break;
-		if (s->policy == SCHED_POLICY_FULL && preempts < PREEMPT_TRIES_MAX) {
-			preempts++;
-			if (claim_preempt(s, now, j))
-				continue;
-		}
 		g_hash_table_add(failed, g_memdup2(&sig, sizeof(sig)));
 		if (s->policy == SCHED_POLICY_FULL && reservations < RESERVATIONS_MAX &&
 			j->accelerators >= LARGE_ACCELERATORS) {
--- a/tests/property/prop-gang.cc
+++ b/tests/property/prop-gang.cc
@@ -111,7 +111,7 @@
 }
 
 /* End what a node runs of a job. */
-static void end_task(node *n, const std::string &id, member_end end)
+static void end_task(node *n, std::string id, member_end end)
 {
 	uint32_t attempt = n->running[id];
 	job_result r = {};
