build: make check builds in parallel

Cause: in a fresh clone the build ran one file at a time and took more than a minute. Change: the check target builds with eight jobs. Conclusion: no change to what is checked.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,8 @@
 	@$(MAKE) -s -j8 all
 	@scripts/demo
 
-check: tests
+check:
+	@$(MAKE) -s -j8 tests
 	@scripts/check
 
 clean:
