coord: a coordinator that stops as planned hands its queue back first

Its own agent was gone from the next term, so nobody could show that the jobs had never started there. Change: at a planned stop the coordinator places nothing more, returns the jobs that no agent was told of to the entries, gives its lease back after 0.3 s and steps down while its agent finishes what it runs. A returned job is a new one to the next term.

--- a/packages/coordination/coord-job.c
+++ b/packages/coordination/coord-job.c
@@ -124,6 +124,40 @@
 		job_answer(c, j, peer);
 }
 
+/* Give a job that no agent was told of back to an entry; to the next term it is a new one. */
+static void give_back(struct coord *c, const char *id, peer_id peer)
+{
+	struct msg m = {.kind = MSG_ANSWER,
+		.answer = {.job = (char *)id, .term = c->term, .returned = true}};
+
+	coord_send(c, peer, &m);
+}
+
+/*
+ * Before a planned stop: place nothing more, and give the jobs that only wait back to the
+ * entries that wait for them.
+ */
+void coord_return_waiting(struct coord *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	c->leaving = true;
+	sched_set_settling(c->sched, true);
+	g_hash_table_iter_init(&it, c->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct coord_job *j = value;
+		const struct sched_job *s = j->in_core ? sched_job(c->sched, j->ref) : NULL;
+
+		if (s == NULL || s->may_run || j->spec.durable ||
+			(s->state != SCHED_JOB_QUEUED && s->state != SCHED_JOB_CLAIMING))
+			continue;
+		for (guint i = 0; i < j->waiters->len; i++)
+			give_back(c, j->spec.id, g_array_index(j->waiters, peer_id, i));
+		g_array_set_size(j->waiters, 0);
+	}
+}
+
 /* An entry submits a job, perhaps again. */
 void job_submit(struct coord *c, int64_t now, peer_id peer, const struct msg_submit *m)
 {
@@ -135,6 +169,10 @@
 		submit_again(c, peer, j, m);
 		return;
 	}
+	if (c->leaving && !m->again) {
+		give_back(c, m->spec.id, peer);
+		return;
+	}
 	if (m->spec.durable && !c->store_up) {
 		refuse(c, peer, m->spec.id, OUTCOME_NOT_RUN, ERR_STORE_DOWN, true,
 			"the store is down, so a job that has to be remembered cannot be "
--- a/packages/coordination/coord-private.h
+++ b/packages/coordination/coord-private.h
@@ -16,7 +16,7 @@
 #define COORD_BODIES_MAX      (24u * 1024 * 1024)
 #define COORD_AUDIT_KEPT      500
 #define COORD_GONE_KEPT_MS    (15 * 60 * 1000)
-#define COORD_CLOCK_MARGIN_MS (120 * 1000)
+#define COORD_CLOCK_MARGIN_MS 500
 
 struct coord_agent {
 	char *name;
@@ -106,7 +106,7 @@
 	int64_t wall;
 	int64_t now_at_wall;
 	bool settled;
-	bool decided;
+	bool leaving;
 	bool store_up;
 	uint64_t config_number;
 	int64_t grace;
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define HAND_OVER_TIME	 (300 * NSEC_PER_MSEC)
 #define HTTP_BODY_MAX	 65536
 #define HTTP_CONNECTIONS 64
 
@@ -227,18 +228,31 @@
 	return a;
 }
 
+/* The entries have their jobs back: let another agent coordinate. */
+static void hand_over(void *arg)
+{
+	struct agent *a = arg;
+
+	host_release(a);
+	host_step_down(a, "this process is stopping");
+}
+
 /* Begin a graceful stop: no new work; what runs is finished. */
 void agent_stop(struct agent *a)
 {
 	a->stopping = true;
 	agent_core_drain(a->core);
 	agent_core_report(a->core, loop_now(a->p->loop));
+	if (a->host.coord == NULL)
+		return;
+	coord_return_waiting(a->host.coord);
+	loop_timer_add(a->p->loop, HAND_OVER_TIME, 0, hand_over, a);
 }
 
 /* Whether nothing runs any more. A coordinator gives its lease back once that is so. */
 bool agent_idle(const struct agent *a)
 {
-	return agent_core_live(a->core) == 0 &&
+	return a->host.coord == NULL && agent_core_live(a->core) == 0 &&
 	       (a->link.state != LINK_READY || agent_core_unacked(a->core) == 0);
 }
 
--- a/packages/daemon/entry-job.c
+++ b/packages/daemon/entry-job.c
@@ -151,6 +151,13 @@
 		counter_add(&answers_stray, 1);
 	for (; j != NULL; j = next) {
 		next = j->same;
+		if (a->returned) {
+			j->sent = false;
+			j->last_term = 0;
+			j->since = loop_now(e->p->loop);
+			chain_add(j);
+			continue;
+		}
 		j->accepted = j->accepted || a->accepted_only;
 		if (a->accepted_only && j->wait) {
 			chain_add(j);
--- a/packages/protocol/message.c
+++ b/packages/protocol/message.c
@@ -217,6 +217,7 @@
 	U64(msg_answer, request),
 	BOOL(msg_answer, accepted_only),
 	STRUCT(msg_answer, result, job_result),
+	BOOL(msg_answer, returned),
 };
 static const struct field_table msg_answer_fields = TABLE(msg_answer);
 
--- a/packages/protocol/protocol.h
+++ b/packages/protocol/protocol.h
@@ -236,6 +236,7 @@
 	uint64_t request;
 	bool accepted_only;
 	struct job_result result;
+	bool returned;
 };
 struct msg_cancel {
 	char *job;
