tests: scenarios that run side by side no longer take each other's ports

Cause: scenario upstream-leaves failed once in four at a time: an agent found its port taken, since a free port was looked up and let go before it was used. Change: each runner has ports of its own below the range that the system gives out. Conclusion: a fault of the runner, not of the product.

--- a/tests/scenario/proc.c
+++ b/tests/scenario/proc.c
@@ -10,6 +10,9 @@
 #include <unistd.h>
 
 #define START_LIMIT (20 * NSEC_PER_SEC)
+#define PORT_FIRST  10000
+#define PORT_PARTS  500
+#define PORTS_EACH  40
 
 /* Find a process by name. */
 struct proc *proc_find(struct scenario *s, const char *name)
@@ -156,12 +159,24 @@
 	free(p);
 }
 
-/* A loopback address that is free now. */
+/*
+ * A loopback address that is free now. Ports lie below those that the system gives out by
+ * itself, in a part that runners with other process numbers do not use.
+ */
 char *free_addr(void)
 {
-	char *addr = NULL;
-	int fd = addr_listen("127.0.0.1:0", &addr, NULL);
+	static int used;
 
-	close(fd);
-	return addr;
+	for (;;) {
+		int port =
+			PORT_FIRST + getpid() % PORT_PARTS * PORTS_EACH + used++ % PORTS_EACH;
+		g_autofree char *want = g_strdup_printf("127.0.0.1:%d", port);
+		char *addr = NULL;
+		int fd = addr_listen(want, &addr, NULL);
+
+		if (fd < 0)
+			continue;
+		close(fd);
+		return addr;
+	}
 }
