entry: the time of the last reading is written atomically

Cause: the thread sanitizer showed in scenario smoke that the loop wrote the time of the last reading plainly while an HTTP thread read it for config-status; the entry halted there. Change: an atomic store. Conclusion: one race less; the next one is to be looked for first.

--- a/packages/daemon/entry-config.c
+++ b/packages/daemon/entry-config.c
@@ -134,7 +134,7 @@
 			auth_warn_open(r->view->doc);
 		}
 		counter_set(&config_number, r->view->config.number);
-		e->loaded_at = loop_now(e->p->loop);
+		__atomic_store_n(&e->loaded_at, loop_now(e->p->loop), __ATOMIC_RELAXED);
 		rcu_publish(&e->view, r->view, view_free);
 		links_update(e, r->view);
 		r->view = NULL;
