base, transport, tests: the whole path is clean under the thread sanitizer

Shown by single runs: (1) the sanitizer does not see the fences of ck_epoch and reported the free of an old view; (2) the phase of an HTTP request was read without its lock after a resume; (3) agent and entry were freed while a blocking call of theirs was still on the pool; (4) the runner left its submit threads unjoined and read a relay's mode without an atomic.

--- a/packages/base/rcu.c
+++ b/packages/base/rcu.c
@@ -5,6 +5,21 @@
 #include <pthread.h>
 #include <stdlib.h>
 
+/*
+ * The thread sanitizer does not see the fences of ck_epoch, which are inline assembly. It is
+ * told the one order that ck_epoch_synchronize gives: a read section that has ended comes
+ * before the free of what it may have read.
+ */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *addr);
+void __tsan_release(void *addr);
+#define RCU_READ_ENDS(epoch)	__tsan_release(epoch)
+#define RCU_READERS_GONE(epoch) __tsan_acquire(epoch)
+#else
+#define RCU_READ_ENDS(epoch)
+#define RCU_READERS_GONE(epoch)
+#endif
+
 static ck_epoch_t rcu_epoch;
 static pthread_key_t rcu_key;
 static pthread_once_t rcu_once = PTHREAD_ONCE_INIT;
@@ -48,6 +63,7 @@
 /* End reading; what rcu_read returned must not be used any more. */
 void rcu_leave(void)
 {
+	RCU_READ_ENDS(&rcu_epoch);
 	ck_epoch_end(my_record(), NULL);
 }
 
@@ -65,5 +81,6 @@
 	if (old == NULL)
 		return;
 	ck_epoch_synchronize(my_record());
+	RCU_READERS_GONE(&rcu_epoch);
 	free_fn(old);
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -19,6 +19,7 @@
 	int64_t stop_limit;
 };
 bool process_init(struct process *p, struct options *o, GError **err);
+void process_end_work(struct process *p);
 void process_clear(struct process *p);
 
 /* agent.c: the process beside an upstream; one of them coordinates the cell. */
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -174,6 +174,7 @@
 		fprintf(stderr, "damaskpathd: %s\n", err->message);
 		p.exit_code = error_kind_of(err) == ERR_INVALID ? EXIT_USAGE : 1;
 	}
+	process_end_work(&p.process);
 	if (p.entry != NULL)
 		entry_free(p.entry);
 	if (p.agent != NULL)
--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -28,11 +28,18 @@
 	return true;
 }
 
-/* Free all. */
-void process_clear(struct process *p)
+/* Finish the blocking calls under way; their owners may be freed afterwards. */
+void process_end_work(struct process *p)
 {
 	if (p->pool != NULL)
 		work_pool_free(p->pool);
+	p->pool = NULL;
+}
+
+/* Free all. */
+void process_clear(struct process *p)
+{
+	process_end_work(p);
 	if (p->loop != NULL)
 		loop_free(p->loop);
 	store_free(p->store);
--- a/packages/transport/http-server.c
+++ b/packages/transport/http-server.c
@@ -85,6 +85,17 @@
 	free(r);
 }
 
+/* How far a request is; another thread may just be answering it. */
+static enum http_phase request_phase(struct http_request *r)
+{
+	enum http_phase phase;
+
+	pthread_mutex_lock(&r->lock);
+	phase = r->phase;
+	pthread_mutex_unlock(&r->lock);
+	return phase;
+}
+
 /* Queue the answer that the handler gave. */
 static enum MHD_Result queue_answer(struct http_request *r)
 {
@@ -143,7 +154,7 @@
 		*upload_len = 0;
 		return MHD_YES;
 	}
-	if (r->phase == HTTP_READING)
+	if (request_phase(r) == HTTP_READING)
 		return hand_over(r);
 	return queue_answer(r);
 }
--- a/tests/scenario/relay.c
+++ b/tests/scenario/relay.c
@@ -37,7 +37,9 @@
 
 	if (in < 0)
 		return;
-	out = r->mode != RELAY_CUT && r->len < PAIRS_MAX ? addr_dial(r->target, NULL) : -1;
+	out = __atomic_load_n(&r->mode, __ATOMIC_ACQUIRE) != RELAY_CUT && r->len < PAIRS_MAX
+		      ? addr_dial(r->target, NULL)
+		      : -1;
 	if (out < 0) {
 		close(in);
 		return;
--- a/tests/scenario/runner.c
+++ b/tests/scenario/runner.c
@@ -549,11 +549,12 @@
 /* stop NAME: a planned stop, which must end by itself. */
 static void do_stop(struct scenario *s, char **w)
 {
-	struct worker *wk = find_worker(s, w[1]);
-	struct proc *p = proc_find(s, w[1]);
+	const char *who = resolve(s, w[1]);
+	struct worker *wk = find_worker(s, who);
+	struct proc *p = proc_find(s, who);
 	int code = 0;
 
-	signal_name(s, w[1], SIGTERM);
+	signal_name(s, who, SIGTERM);
 	if (wk != NULL) {
 		code |= proc_reap(wk->upstream, STOP_LIMIT);
 		code |= proc_reap(wk->agent, STOP_LIMIT);
@@ -561,7 +562,7 @@
 		code = proc_reap(p, STOP_LIMIT);
 	}
 	if (code != 0)
-		fail(s, "%s ended with code %d", w[1], code);
+		fail(s, "%s ended with code %d", who, code);
 }
 
 /* link NAME open|hold|cut: the way to an agent's peer address. */
@@ -949,6 +950,8 @@
 		struct job *j = s->jobs->pdata[i];
 
 		settle_job(s, j);
+		if (j->started && __atomic_load_n(&j->answered, __ATOMIC_ACQUIRE))
+			pthread_join(j->thread, NULL);
 		if (!__atomic_load_n(&j->answered, __ATOMIC_ACQUIRE) ||
 			(j->outcome == NULL && !j->cut)) {
 			fprintf(stderr, "%s: job %s got no outcome (%s)\n", s->file, j->name,
