coord: an end that comes while a coordinator settles is kept

Ruled out: lost frames (the agent held an acknowledged end). The same list was kept twice when an agent listed anew, so that a part of a gang could count as whole, and it outlived a restart of its agent. Change: an end updates the listed member and is acknowledged when that is settled; a new inventory, a restart or a death drops what the agent had listed. Test: the model in prop-gang got a takeover as it mostly goes (tasks end and agents restart while it collects). Before: falsified after 97 cases, 'job never got an answer'.

--- a/packages/coordination/coord-agent.c
+++ b/packages/coordination/coord-agent.c
@@ -67,6 +67,7 @@
 	coord_note_gone(c, now, a);
 	if (a->has_worker)
 		sched_worker_down(c->sched, now, a->worker);
+	settle_forget(c, a);
 	run_member_gone(c, now, a, false);
 }
 
--- a/packages/coordination/coord-private.h
+++ b/packages/coordination/coord-private.h
@@ -161,6 +161,8 @@
 void run_dispatch(struct coord *c, int64_t now, struct coord_job *j);
 void run_reserved(
 	struct coord *c, int64_t now, struct coord_agent *a, const struct msg_reserved *m);
+void run_take_end(
+	struct coord *c, int64_t now, struct coord_agent *a, const struct msg_ended *m);
 void run_ended(struct coord *c, int64_t now, struct coord_agent *a, const struct msg_ended *m);
 void run_member_gone(struct coord *c, int64_t now, struct coord_agent *a, bool may_report);
 void run_sweep(struct coord *c, int64_t now);
@@ -168,6 +170,9 @@
 	struct coord *c, peer_id peer, const char *job, uint32_t attempt, enum stop_mode mode);
 
 /* coord-settle.c */
+void found_free(void *p);
+void settle_forget(struct coord *c, const struct coord_agent *a);
+bool settle_ended(struct coord *c, const struct coord_agent *a, const struct msg_ended *m);
 void settle_found(struct coord *c, struct coord_agent *a, const struct msg_inventory *inv);
 void settle_sweep(struct coord *c, int64_t now);
 void settle_load(struct coord *c, int64_t now, GPtrArray *records);
--- a/packages/coordination/coord-run.c
+++ b/packages/coordination/coord-run.c
@@ -282,14 +282,13 @@
 	}
 }
 
-/* A member has ended, as its agent says. */
-void run_ended(struct coord *c, int64_t now, struct coord_agent *a, const struct msg_ended *m)
+/* Enter the end of a member and acknowledge it. */
+void run_take_end(
+	struct coord *c, int64_t now, struct coord_agent *a, const struct msg_ended *m)
 {
 	struct coord_job *j = job_find(c, m->job);
 	uint32_t member = UINT32_MAX;
 
-	if (m->job == NULL)
-		return;
 	for (uint32_t i = 0; j != NULL && i < j->size; i++) {
 		if (j->members[i].agent == a)
 			member = i;
@@ -309,6 +308,13 @@
 	acknowledge(c, a, j, m);
 }
 
+/* A member has ended, as its agent says; one that is still to be settled waits for that. */
+void run_ended(struct coord *c, int64_t now, struct coord_agent *a, const struct msg_ended *m)
+{
+	if (m->job != NULL && !settle_ended(c, a, m))
+		run_take_end(c, now, a, m);
+}
+
 /*
  * Settle the open members of an agent. may_report: the agent is back on a new connection and
  * its inventory, which has been taken in, is the proof for what it does not list. Otherwise
--- a/packages/coordination/coord-settle.c
+++ b/packages/coordination/coord-settle.c
@@ -69,7 +69,7 @@
 		.end = r->end,
 		.result = r->result};
 
-	run_ended(c, now, a, &m);
+	run_take_end(c, now, a, &m);
 }
 
 /* Compare an agent's member with a job that we have in hand. */
@@ -90,6 +90,15 @@
 	run_reserved(c, now, a, &ok);
 }
 
+/* Free a member that was found. */
+void found_free(void *p)
+{
+	struct coord_found *f = p;
+
+	fields_clear(&member_record_fields, &f->record);
+	free(f);
+}
+
 /* Remember a member for the end of settling. */
 static void keep_found(struct coord *c, struct coord_agent *a, const struct member_record *r)
 {
@@ -100,9 +109,40 @@
 	g_ptr_array_add(c->found, f);
 }
 
+/* Forget what an agent listed: it has restarted, or lists anew. */
+void settle_forget(struct coord *c, const struct coord_agent *a)
+{
+	for (guint i = c->found->len; i-- > 0;) {
+		if (((struct coord_found *)c->found->pdata[i])->agent == a)
+			g_ptr_array_remove_index(c->found, i);
+	}
+}
+
+/*
+ * A member ended that was listed as running and has not been settled yet: keep how, for the
+ * end of settling, which acknowledges it. False where no such member was listed.
+ */
+bool settle_ended(struct coord *c, const struct coord_agent *a, const struct msg_ended *m)
+{
+	for (guint i = 0; i < c->found->len; i++) {
+		struct coord_found *f = c->found->pdata[i];
+
+		if (f->agent != a || strcmp(f->record.spec.id, m->job) != 0 ||
+			f->record.attempt != m->attempt || f->record.member != m->member)
+			continue;
+		f->record.state = MEMBER_ENDED;
+		f->record.end = m->end;
+		fields_clear(&job_result_fields, &f->record.result);
+		fields_copy(&job_result_fields, &f->record.result, &m->result);
+		return true;
+	}
+	return false;
+}
+
 /* Take in an agent's inventory. */
 void settle_found(struct coord *c, struct coord_agent *a, const struct msg_inventory *inv)
 {
+	settle_forget(c, a);
 	for (uint32_t i = 0; i < inv->members_len; i++) {
 		struct member_record *r = &inv->members[i];
 		struct coord_job *j = job_find(c, r->spec.id);
@@ -275,13 +315,10 @@
 		settle_group(c, now, group);
 		g_ptr_array_unref(group);
 		for (guint i = c->found->len; i-- > 0;) {
-			struct coord_found *f = c->found->pdata[i];
+			const struct coord_found *f = c->found->pdata[i];
 
-			if (strcmp(f->record.spec.id, id) != 0)
-				continue;
-			fields_clear(&member_record_fields, &f->record);
-			free(f);
-			g_ptr_array_remove_index(c->found, i);
+			if (strcmp(f->record.spec.id, id) == 0)
+				g_ptr_array_remove_index(c->found, i);
 		}
 	}
 }
--- a/packages/coordination/coord.c
+++ b/packages/coordination/coord.c
@@ -32,7 +32,7 @@
 	c->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal, free, NULL);
 	c->old_roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 	c->saved_roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
-	c->found = g_ptr_array_new();
+	c->found = g_ptr_array_new_with_free_func(found_free);
 	c->gone = g_ptr_array_new_with_free_func(gone_free);
 	c->grace = 5 * NSEC_PER_SEC;
 	c->store_up = true;
@@ -41,13 +41,6 @@
 	return c;
 }
 
-/* Free a member that was found. */
-static void found_free(struct coord_found *f)
-{
-	fields_clear(&member_record_fields, &f->record);
-	free(f);
-}
-
 /* Free a coordinator. */
 void coord_free(struct coord *c)
 {
@@ -56,8 +49,6 @@
 	if (c == NULL)
 		return;
 	counter_set(&term_gauge, 0);
-	for (guint i = 0; i < c->found->len; i++)
-		found_free(c->found->pdata[i]);
 	g_ptr_array_unref(c->found);
 	g_ptr_array_unref(c->gone);
 	g_hash_table_destroy(c->jobs);
@@ -181,6 +172,39 @@
 	return c->settled;
 }
 
+/* Whether an agent besides the named one is connected and takes work, so may coordinate next.
+ */
+bool coord_has_successor(struct coord *c, const char *self)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->agents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct coord_agent *a = value;
+
+		if (a->peer != PEER_NONE && a->serving && strcmp(a->name, self) != 0)
+			return true;
+	}
+	return false;
+}
+
+/* How many jobs have been sent to agents and have not ended. */
+size_t coord_running(const struct coord *c)
+{
+	GHashTableIter it;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, c->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct coord_job *j = value;
+
+		n += j->dispatched && !j->ended;
+	}
+	return n;
+}
+
 /* Wall time of a monotonic one. */
 int64_t coord_wall(const struct coord *c, int64_t now)
 {
--- a/tests/property/prop-gang.cc
+++ b/tests/property/prop-gang.cc
@@ -379,6 +379,36 @@
 	submit_open(c, s->id);
 }
 
+/*
+ * A takeover as it mostly goes: all agents find the next coordinator soon, and tasks end and
+ * agents restart while it still collects what they run.
+ */
+static void take_over(cell *c, uint32_t x)
+{
+	if (c->co != nullptr)
+		kill_coord(c);
+	start_coord(c);
+	for (int i = 0; i < 8; i++, x /= 4) {
+		node *n = &c->nodes[i % AGENTS];
+
+		connect_node(c, n);
+		for (int k = 0; k < 6; k++) {
+			deliver(c, n, true);
+			deliver(c, n, false);
+		}
+		if (x % 4 == 1 && !n->running.empty())
+			end_task(n, n->running.begin()->first, MEMBER_END_DONE);
+		if (x % 4 == 2)
+			disconnect(c, n);
+		if (x % 16 == 3) {
+			disconnect(c, n);
+			agent_core_free(n->core);
+			start_node(c, n);
+		}
+		pass_time(c, SEC / 4);
+	}
+}
+
 /* One random event. */
 static void step(cell *c, uint32_t r)
 {
@@ -431,6 +461,9 @@
 	case 13:
 		connect_node(c, n);
 		break;
+	case 14:
+		take_over(c, x);
+		break;
 	default:
 		deliver(c, n, x & 1);
 		break;
