agent: a planned stop waits until a coordinator has every result

Cause: an agent that stopped counted as idle without a link to a coordinator, so results that ended between the old coordinator's hand-over and the next one's welcome were lost: the callers were told unknown. A cell whose agents all stopped at once cut every caller. Change: idle means nothing live and nothing unacknowledged; a stopping coordinator hands over only to an agent that takes work, and else goes on until all that runs has been reported.

--- a/packages/daemon/agent-private.h
+++ b/packages/daemon/agent-private.h
@@ -55,6 +55,7 @@
 	uint64_t incarnation;
 	int64_t lease;
 	bool stopping;
+	int64_t hand_over_at;
 	bool ready;
 	struct link link;
 	struct host host;
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -168,6 +168,21 @@
 		link_closed(a, loop_now(a->p->loop));
 }
 
+/*
+ * While stopping as the coordinator: let another agent coordinate once the entries have their
+ * jobs back. Where no other agent takes work, go on until all that runs has been reported.
+ */
+static void tick_hand_over(struct agent *a, int64_t now)
+{
+	if (a->host.coord == NULL || now < a->hand_over_at)
+		return;
+	if (!coord_has_successor(a->host.coord, a->name) &&
+		(coord_running(a->host.coord) > 0 || agent_core_unacked(a->core) > 0))
+		return;
+	host_release(a);
+	host_step_down(a, "this process is stopping");
+}
+
 /* Twice a second. */
 static void on_tick(void *arg)
 {
@@ -176,6 +191,8 @@
 
 	agent_core_tick(a->core, now);
 	link_tick(a, now);
+	if (a->stopping)
+		tick_hand_over(a, now);
 	__atomic_store_n(
 		&a->ready, a->link.state == LINK_READY && !a->stopping, __ATOMIC_RELAXED);
 }
@@ -228,32 +245,27 @@
 	return a;
 }
 
-/* The entries have their jobs back: let another agent coordinate. */
-static void hand_over(void *arg)
-{
-	struct agent *a = arg;
-
-	host_release(a);
-	host_step_down(a, "this process is stopping");
-}
-
 /* Begin a graceful stop: no new work; what runs is finished. */
 void agent_stop(struct agent *a)
 {
+	int64_t now = loop_now(a->p->loop);
+
 	a->stopping = true;
+	a->hand_over_at = now + HAND_OVER_TIME;
 	agent_core_drain(a->core);
-	agent_core_report(a->core, loop_now(a->p->loop));
-	if (a->host.coord == NULL)
-		return;
-	coord_return_waiting(a->host.coord);
-	loop_timer_add(a->p->loop, HAND_OVER_TIME, 0, hand_over, a);
+	agent_core_report(a->core, now);
+	if (a->host.coord != NULL)
+		coord_return_waiting(a->host.coord);
 }
 
-/* Whether nothing runs any more. A coordinator gives its lease back once that is so. */
+/*
+ * Whether nothing runs any more and a coordinator has every result: one that no coordinator
+ * has heard of would be lost with this process.
+ */
 bool agent_idle(const struct agent *a)
 {
 	return a->host.coord == NULL && agent_core_live(a->core) == 0 &&
-	       (a->link.state != LINK_READY || agent_core_unacked(a->core) == 0);
+	       agent_core_unacked(a->core) == 0;
 }
 
 /* Stop at once. */
