coord: no attempt number is used by two terms, and no answered job runs again

The runs were different attempts under one number: a job found in part after a takeover went on counting from the number that was found, so term 5 gave out attempt 2 that term 2 had used; a fence or a late end of the one would have met the other. And most of these jobs were done and answered: one agent still listed its ended member, the other had restarted, so the job was stopped as partial and run again (1,641 runs for 1,001 jobs). Change: attempts after a takeover are numbered above term * 256, also for found jobs and records; ends of an idempotent job that nobody waits for are acknowledged and dropped. Test: the model in prop-gang forbids that a member is begun twice under one number. Before: falsified after 158 cases.

--- a/packages/coordination/coord-job.c
+++ b/packages/coordination/coord-job.c
@@ -4,9 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A job that an earlier term may have seen gets attempt numbers that term cannot have used. */
-#define ATTEMPT_TERM_SHIFT 8
-
 COUNTER(jobs_submitted, "damaskpath_jobs_submitted_total",
 	"Jobs that came to this coordinator.");
 COUNTER(jobs_repeated, "damaskpath_jobs_repeated_total",
@@ -66,7 +63,8 @@
 	j->in_core = true;
 	j->ref = sched_submit(c->sched, now, &j->spec, j);
 	s = sched_job(c->sched, j->ref);
-	s->attempt = MAX(s->attempt, j->record_attempt);
+	if (j->record_attempt > 0)
+		s->attempt = MAX(j->record_attempt, coord_attempt_floor(c));
 }
 
 /* Send a job's end, or that it was accepted, to an entry. */
@@ -182,7 +180,7 @@
 	counter_add(&jobs_submitted, 1);
 	j = job_add(c, now, &m->spec);
 	if (m->again)
-		j->record_attempt = (uint32_t)c->term << ATTEMPT_TERM_SHIFT;
+		j->record_attempt = coord_attempt_floor(c);
 	if (m->wait)
 		add_waiter(j, peer);
 	if (m->again && !m->spec.idempotent && m->last_term < c->term &&
--- a/packages/coordination/coord-private.h
+++ b/packages/coordination/coord-private.h
@@ -17,6 +17,7 @@
 #define COORD_AUDIT_KEPT      500
 #define COORD_GONE_KEPT_MS    (15 * 60 * 1000)
 #define COORD_CLOCK_MARGIN_MS 500
+#define COORD_TERM_SHIFT      8
 
 struct coord_agent {
 	char *name;
@@ -132,6 +133,7 @@
 int64_t coord_wall(const struct coord *c, int64_t now);
 void coord_audit(struct coord *c, int64_t now, const char *what, const char *who,
 	const char *job, const char *detail);
+uint32_t coord_attempt_floor(const struct coord *c);
 bool coord_send(struct coord *c, peer_id peer, const struct msg *m);
 
 /* coord-agent.c */
--- a/packages/coordination/coord-settle.c
+++ b/packages/coordination/coord-settle.c
@@ -254,6 +254,7 @@
 	j->in_core = true;
 	j->undecided = false;
 	j->ref = sched_adopt(c->sched, now, &j->spec, j, j->attempt, members, len, running);
+	sched_job(c->sched, j->ref)->attempt_floor = coord_attempt_floor(c);
 	log_info("coord", "A running job was taken over%s. job=%s attempt=%u term=%" PRIu64,
 		whole ? "" : " in part and is stopped", j->spec.id, j->attempt, c->term);
 	if (whole)
@@ -277,12 +278,45 @@
 	return true;
 }
 
+/*
+ * Whether a group is only what is left of a job that may run again and that nobody waits for:
+ * its caller had the answer from the coordinator before us.
+ */
+static bool is_leftover(struct coord *c, const GPtrArray *group)
+{
+	const struct coord_found *first = group->pdata[0];
+	const struct coord_job *j = job_find(c, first->record.spec.id);
+
+	if (!first->record.spec.idempotent || first->record.spec.durable || is_whole(group) ||
+		(j != NULL && (j->in_core || j->ended || j->waiters->len > 0)))
+		return false;
+	for (guint i = 0; i < group->len; i++) {
+		if (((struct coord_found *)group->pdata[i])->record.state != MEMBER_ENDED)
+			return false;
+	}
+	return true;
+}
+
+/* Acknowledge the ends of a group, of which nothing else comes. */
+static void drop_group(struct coord *c, int64_t now, const GPtrArray *group)
+{
+	for (guint i = 0; i < group->len; i++) {
+		struct coord_found *f = group->pdata[i];
+
+		replay_end(c, now, f->agent, &f->record);
+	}
+}
+
 /* Decide on one job that was found. */
 static void settle_group(struct coord *c, int64_t now, GPtrArray *group)
 {
 	struct coord_found *first = group->pdata[0];
 	struct coord_job *j = job_find(c, first->record.spec.id);
 
+	if (is_leftover(c, group)) {
+		drop_group(c, now, group);
+		return;
+	}
 	if (j == NULL)
 		j = job_add(c, now, &first->record.spec);
 	j->record_attempt = MAX(j->record_attempt, first->record.attempt);
@@ -372,6 +406,7 @@
 
 		if (may_run(c, j)) {
 			j->undecided = false;
+			j->record_attempt = MAX(j->record_attempt, coord_attempt_floor(c));
 			job_submit_core(c, now, j);
 		} else if (late && now - j->submitted_at > COORD_SETTLE) {
 			job_end(c, now, j, &lost);
--- a/packages/coordination/coord.c
+++ b/packages/coordination/coord.c
@@ -154,6 +154,15 @@
 		g_hash_table_size(c->old_roster), c->cell, term);
 }
 
+/*
+ * A job that an earlier term may have tried gets attempt numbers above this, which that term
+ * cannot have used.
+ */
+uint32_t coord_attempt_floor(const struct coord *c)
+{
+	return (uint32_t)c->term << COORD_TERM_SHIFT;
+}
+
 /* The coordinator's term. */
 uint64_t coord_term(const struct coord *c)
 {
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -278,7 +278,7 @@
 		queue_remove(s, j);
 	j->state = SCHED_JOB_PLACING;
 	j->stop = SCHED_STOP_NONE;
-	j->attempt++;
+	j->attempt = MAX(j->attempt, j->attempt_floor) + 1;
 	j->placed_at = now;
 	j->started_at = 0;
 	s->counts.placed++;
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -114,6 +114,7 @@
 	enum sched_stop stop;
 	bool cancel_wanted;
 	uint32_t attempt;
+	uint32_t attempt_floor;
 	uint32_t failures;
 	uint32_t preemptions;
 	int64_t not_before;
--- a/tests/property/prop-gang.cc
+++ b/tests/property/prop-gang.cc
@@ -56,6 +56,7 @@
 	std::map<std::string, outcome_seen> answers;
 	std::map<std::string, std::set<uint32_t>> attempts;
 	std::map<std::string, int> members;
+	std::set<std::string> begun;
 	std::map<std::string, bool> twice_allowed;
 	doc *document = nullptr;
 	int jobs = 0;
@@ -101,6 +102,11 @@
 	node *n = (node *)arg;
 	std::string id = m->record.spec.id;
 
+	std::string what = id + "/" + std::to_string(m->record.attempt) + "/" +
+			   std::to_string(m->record.member);
+
+	if (!n->c->begun.insert(what).second)
+		n->c->wrong = "member " + what + " was begun twice under one attempt number";
 	n->running[id] = m->record.attempt;
 	n->c->attempts[id].insert(m->record.attempt);
 	n->c->members[id + "/" + std::to_string(m->record.attempt)]++;
