agent: the coordinator's own agent finds it again after a cut

An agent that lost its connection asks the store for the holder of the term and dials it unless it is itself; so the agent beside the coordinator never came back, and its worker was dead until the next takeover. Change: an agent that hosts the coordinator dials itself, without asking the store.

--- a/packages/daemon/agent-link.c
+++ b/packages/daemon/agent-link.c
@@ -214,7 +214,11 @@
 {
 	switch (a->link.state) {
 	case LINK_NONE:
-		if (now >= a->link.next_try)
+		if (now < a->link.next_try)
+			break;
+		if (a->host.coord != NULL)
+			dial(a, now, a->addr);
+		else
 			ask(a);
 		break;
 	case LINK_ASKING:
