tests: a process that ends by itself fails its scenario

Change: the runner looks after each line and each job of the mix whether a process ended that nobody told to, and names its signal.

--- a/tests/scenario/proc.c
+++ b/tests/scenario/proc.c
@@ -125,6 +125,22 @@
 	return true;
 }
 
+/* Report the processes that ended though nobody told them to: they crashed. */
+void proc_watch(struct scenario *s)
+{
+	for (guint i = 0; i < s->procs->len; i++) {
+		struct proc *p = s->procs->pdata[i];
+		int status = 0;
+
+		if (p->pid <= 0 || p->stopping || waitpid(p->pid, &status, WNOHANG) != p->pid)
+			continue;
+		p->pid = 0;
+		fail(s, "%s ended by itself with %s %d", p->name,
+			WIFSIGNALED(status) ? "signal" : "code",
+			WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
+	}
+}
+
 /* Wait for a process to end; its exit code, or -1 at the limit, when it is killed. */
 int proc_reap(struct proc *p, int64_t limit)
 {
--- a/tests/scenario/runner.c
+++ b/tests/scenario/runner.c
@@ -808,6 +808,7 @@
 		all[n] = sleep;
 		submit_one(s, name, all);
 		usleep((useconds_t)(step / 1000));
+		proc_watch(s);
 		if (now_ns() > next_fault && i < jobs * 9 / 10) {
 			random_fault(s);
 			next_fault =
@@ -914,6 +915,7 @@
 		else
 			commands[i].exec(s, w);
 		watch_config(s);
+		proc_watch(s);
 		return;
 	}
 	fail(s, "there is no command %s", w[0]);
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -86,6 +86,7 @@
 void proc_restart(struct scenario *s, struct proc *p);
 bool proc_signal(struct scenario *s, struct proc *p, int sig);
 struct proc *proc_find(struct scenario *s, const char *name);
+void proc_watch(struct scenario *s);
 int proc_reap(struct proc *p, int64_t limit);
 void proc_free(void *p);
 char *free_addr(void);
