sched: blocked gangs take turns, urgent jobs stop borrowers after 2 s

Urgent jobs outside their guarantee waited behind borrowers (phewa p99 7 to 23 s). Change: the first blocked gang of a pass that waited 60 s stops borrowers that had 60 s (with a checkpoint) or lose little; the whole loss is at most a tenth of its work. An urgent job does so after 2 s, at a loss of at most 60 accelerator-seconds. Whole-rack gangs in phewa still wait for guarantees that lie scattered.

--- a/packages/coordination/sched-claim.c
+++ b/packages/coordination/sched-claim.c
@@ -9,8 +9,11 @@
  * they are gone. The wait is bounded by the grace time of a stop.
  */
 
-#define RESTART_COST (2 * NSEC_PER_SEC)
-#define SLICE	     (60 * NSEC_PER_SEC)
+#define RESTART_COST	(2 * NSEC_PER_SEC)
+#define SLICE		(60 * NSEC_PER_SEC)
+#define LOSS_PART	0.1
+#define URGENT_PATIENCE (2 * NSEC_PER_SEC)
+#define URGENT_LOSS_MAX 60.0 /* accelerator-seconds */
 
 struct victim {
 	struct sched_job *job;
@@ -55,8 +58,25 @@
 	return !j->charged && job_stoppable(j) && j->state != SCHED_JOB_CLAIMING;
 }
 
+/*
+ * Whether a job that waits may take the place of a borrower outside any guarantee: an urgent
+ * one of any that is not; a gang of one that is behind it in the order, and went by while it
+ * was blocked. What can go on from a checkpoint has a slice first.
+ */
+static bool may_displace(const struct sched_job *j, const struct sched_job *v, int64_t now)
+{
+	if (v->state == SCHED_JOB_STOPPING)
+		return true;
+	if (v->state != SCHED_JOB_RUNNING || v->urgent || v->started_at == 0)
+		return false;
+	if (j->urgent)
+		return true;
+	return !v->checkpoint || now - v->started_at >= SLICE;
+}
+
 /* Borrowers of a worker, cheapest per freed accelerator first. */
-static GArray *list_victims(const struct sched *s, int64_t now, uint32_t worker)
+static GArray *list_victims(
+	const struct sched *s, int64_t now, uint32_t worker, const struct sched_job *turn)
 {
 	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct victim));
 
@@ -64,7 +84,7 @@
 		struct sched_job *j = s->active->pdata[i];
 		struct victim v = {.job = j};
 
-		if (!is_borrower(j))
+		if (!is_borrower(j) || (turn != NULL && !may_displace(turn, j, now)))
 			continue;
 		v.here = used_on(j, worker);
 		if (v.here.slots == 0)
@@ -90,10 +110,11 @@
 
 /* Choose victims so that need fits on a worker; false where that cannot be. */
 static bool choose_victims(const struct sched *s, int64_t now, uint32_t worker,
-	const struct sched_res *need, GPtrArray *victims, double *cost)
+	const struct sched_res *need, const struct sched_job *turn, GPtrArray *victims,
+	double *cost)
 {
 	struct sched_res room = worker_free(sched_worker_at(s, worker));
-	GArray *list = list_victims(s, now, worker);
+	GArray *list = list_victims(s, now, worker, turn);
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct victim *v = &g_array_index(list, struct victim, i);
@@ -118,6 +139,7 @@
 /* A place for a claim with what it costs to clear it; hold NULL: over several holds. */
 struct claim {
 	struct fit fit;
+	enum fit_mode mode;
 	struct sched_hold *hold;
 	GPtrArray *victims;
 	double cost;
@@ -136,7 +158,8 @@
 	m->worker = worker;
 	m->accelerators = n;
 	m->need = res_need(j, n);
-	return choose_victims(s, now, worker, &m->need, c->victims, &c->cost);
+	return choose_victims(s, now, worker, &m->need, c->mode == FIT_CHARGED ? NULL : j,
+		c->victims, &c->cost);
 }
 
 /* Room within the guarantee on the workers of a rack, -1 for all. */
@@ -148,7 +171,7 @@
 	if (!at->up || at->draining || (rack >= 0 && at->rack != (uint32_t)rack) ||
 		!health_allows(at, j, now))
 		return 0;
-	return fit_room(s, j, w, FIT_CHARGED, c->hold);
+	return fit_room(s, j, w, c->mode, c->hold);
 }
 
 /* Try to place a claim over the workers of a rack: most room first, the last part tightly. */
@@ -266,7 +289,7 @@
 		.victims = c->victims->len,
 		.expected = now + s->grace};
 	queue_remove(s, j);
-	sched_take(s, j, &c->fit, true, c->hold, true);
+	sched_take(s, j, &c->fit, c->mode == FIT_CHARGED, c->hold, true);
 	j->state = SCHED_JOB_CLAIMING;
 	j->claim_at = now;
 	s->counts.claims++;
@@ -331,7 +354,7 @@
 	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
 {
 	g_autoptr(GPtrArray) list = list_holds(s, j);
-	struct claim c = {.victims = g_ptr_array_new()};
+	struct claim c = {.mode = FIT_CHARGED, .victims = g_ptr_array_new()};
 	bool started = false;
 
 	for (guint from = 0, to; !started && from < list->len; from = to) {
@@ -354,7 +377,7 @@
 static bool claim_over_holds(
 	struct sched *s, int64_t now, struct sched_job *j, struct claim *best)
 {
-	struct claim c = {.victims = g_ptr_array_new()};
+	struct claim c = {.mode = FIT_CHARGED, .victims = g_ptr_array_new()};
 	bool have = false;
 	bool started = start_in(s, now, j, NULL);
 
@@ -377,6 +400,29 @@
 	return started;
 }
 
+/*
+ * Start a gang that has waited for a slice in the place of borrowers that had theirs. Gangs
+ * that outnumber the places so take turns instead of waiting for the longest to end.
+ */
+bool claim_turn(struct sched *s, int64_t now, struct sched_job *j)
+{
+	struct claim best = {.victims = g_ptr_array_new()};
+	struct claim c = {.mode = job_stoppable(j) ? FIT_BORROWED_CLEARED : FIT_FIRM_CLEARED,
+		.victims = g_ptr_array_new()};
+	double worth = (double)j->estimate / (double)NSEC_PER_SEC * j->accelerators;
+	double loss_max = j->urgent ? URGENT_LOSS_MAX : LOSS_PART * worth;
+	bool have = false;
+
+	if (now - j->queued_at >= (j->urgent ? URGENT_PATIENCE : SLICE))
+		find_in(s, now, j, &c, &best, &have);
+	have = have && best.cost <= loss_max;
+	if (have)
+		start_claim(s, now, j, &best);
+	g_ptr_array_unref(c.victims);
+	g_ptr_array_unref(best.victims);
+	return have;
+}
+
 /* Whether all that a claim needs is free. */
 static bool is_cleared(const struct sched *s, const struct sched_job *j)
 {
--- a/packages/coordination/sched-fit.c
+++ b/packages/coordination/sched-fit.c
@@ -61,7 +61,8 @@
 
 /*
  * How many of a job's accelerators a worker can take, in one of the modes; the charged modes
- * look at one hold, or at all of the organisation's where hold is NULL.
+ * look at one hold, or at all of the organisation's where hold is NULL. The cleared modes
+ * count what borrowers use as free.
  */
 uint32_t fit_room(const struct sched *s, const struct sched_job *j, uint32_t worker,
 	enum fit_mode mode, const struct sched_hold *hold)
@@ -84,6 +85,14 @@
 		return room_count(j, &room);
 	case FIT_BORROWED:
 		return room_count(j, &room);
+	case FIT_FIRM_CLEARED:
+		firm = worker_firm_room(w);
+		return room_count(j, &firm);
+	case FIT_BORROWED_CLEARED:
+		room = w->capacity;
+		res_sub(&room, &w->firm);
+		res_sub(&room, &w->pending);
+		return room_count(j, &room);
 	}
 	return 0;
 }
--- a/packages/coordination/sched-private.h
+++ b/packages/coordination/sched-private.h
@@ -168,7 +168,9 @@
 	FIT_CHARGED_FREE,
 	FIT_CHARGED,
 	FIT_FIRM,
-	FIT_BORROWED
+	FIT_BORROWED,
+	FIT_FIRM_CLEARED,
+	FIT_BORROWED_CLEARED
 };
 struct fit {
 	struct sched_member members[SCHED_MEMBERS_MAX];
@@ -186,6 +188,7 @@
 
 /* sched-claim.c */
 bool claim_start(struct sched *s, int64_t now, struct sched_job *j);
+bool claim_turn(struct sched *s, int64_t now, struct sched_job *j);
 void claim_finish(struct sched *s, int64_t now);
 
 /* sched-queue.c */
--- a/packages/coordination/sched-queue.c
+++ b/packages/coordination/sched-queue.c
@@ -14,6 +14,7 @@
 #define TRIES_MAX	   400
 #define CLAIM_TRIES_MAX	   64
 #define RESERVATIONS_MAX   3
+#define TURNS_MAX	   8
 #define LARGE_ACCELERATORS 8
 
 /* Compare two queued jobs. */
@@ -65,8 +66,8 @@
 /* Put a job into the queue. */
 void queue_add(struct sched *s, int64_t now, struct sched_job *j)
 {
-	(void)now;
 	j->state = SCHED_JOB_QUEUED;
+	j->queued_at = now;
 	j->estimate = learn_estimate(s, j);
 	j->key = queue_key(s, j);
 	g_tree_insert(s->queue, j, j);
@@ -297,6 +298,8 @@
 	GHashTable *failed = g_hash_table_new_full(g_int64_hash, g_int64_equal, free, NULL);
 	GArray *endings = NULL;
 	uint32_t reservations = 0;
+	uint32_t turns = 0;
+	bool gang_blocked = false;
 	uint32_t tries = 0;
 	bool behind = false;
 
@@ -316,6 +319,14 @@
 			continue;
 		if (s->policy == SCHED_POLICY_FIFO)
 			break;
+		if (s->policy == SCHED_POLICY_FULL && turns < TURNS_MAX &&
+			(j->urgent ||
+				(!gang_blocked && j->accelerators >= LARGE_ACCELERATORS))) {
+			turns++;
+			gang_blocked |= !j->urgent;
+			if (claim_turn(s, now, j))
+				continue;
+		}
 		g_hash_table_add(failed, g_memdup2(&sig, sizeof(sig)));
 		if (s->policy == SCHED_POLICY_FULL && reservations < RESERVATIONS_MAX &&
 			j->accelerators >= LARGE_ACCELERATORS) {
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -121,6 +121,7 @@
 	int64_t estimate;
 	int64_t key;
 	uint64_t sequence;
+	int64_t queued_at;
 	int64_t placed_at;
 	int64_t started_at;
 	int64_t claim_at;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -11,6 +11,7 @@
 	unit_base(CU_add_suite("base", NULL, NULL));
 	unit_state(CU_add_suite("state", NULL, NULL));
 	unit_agent(CU_add_suite("agent", NULL, NULL));
+	unit_sched(CU_add_suite("sched", NULL, NULL));
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures();
--- /dev/null
+++ b/tests/unit/test-sched.c
@@ -0,0 +1,126 @@
+#include "unit.h"
+
+#include "sched.h"
+
+#include <string.h>
+
+#define SEC NSEC_PER_SEC
+
+/* A core with two workers of 8 in one rack, and no guarantees. */
+static struct sched *make_core(void)
+{
+	static const char cluster[] = "grace: 1s\n"
+				      "cells: {c: {workers: 2, workers_per_rack: 2, "
+				      "accelerators: 8}}\n"
+				      "classes: {later: {priority: 2}}\n";
+	static const char team[] = "organisations: {a: {}, b: {}}\n";
+	struct doc_section sections[] = {{(char *)"cluster", (char *)cluster, 1, 1, 0},
+		{(char *)"teams/t", (char *)team, 2, 1, 0}};
+	struct doc_problems problems = STAILQ_HEAD_INITIALIZER(problems);
+	struct doc *d = doc_parse_sections(sections, ARRAY_LEN(sections), &problems);
+	struct sched *s = sched_new(SCHED_POLICY_FULL, 1);
+
+	d->number = 1;
+	sched_set_doc(s, SEC, d, "c");
+	doc_free(d);
+	for (int i = 0; i < 2; i++) {
+		struct sched_worker_spec w = {i == 0 ? "w0" : "w1", "r", {8, 8, 32, 65536}};
+
+		sched_worker_up(s, SEC, &w);
+	}
+	return s;
+}
+
+/* Submit a job that may be stopped. */
+static job_ref submit(struct sched *s, int64_t now, const char *id, uint32_t accelerators,
+	bool urgent, bool checkpoint, int64_t run)
+{
+	struct job_spec spec = {.id = (char *)id,
+		.org = (char *)(urgent ? "b" : "a"),
+		.kind = (char *)"k",
+		.urgent = urgent,
+		.accelerators = accelerators,
+		.adjacency = ADJACENCY_RACK,
+		.idempotent = true,
+		.checkpoint = checkpoint,
+		.run_time_ms = run / NSEC_PER_MSEC};
+
+	return sched_submit(s, now, &spec, NULL);
+}
+
+/* Run a pass, report what was placed as started, and count the orders to stop. */
+static int pass(struct sched *s, int64_t now)
+{
+	struct sched_action act;
+	int stops = 0;
+	char *wrong;
+
+	sched_run(s, now);
+	while (sched_next(s, &act)) {
+		if (act.kind == SCHED_PLACE)
+			sched_started(s, now, act.job, act.attempt);
+		stops += act.kind == SCHED_STOP;
+		sched_action_clear(&act);
+	}
+	wrong = sched_check(s);
+	CU_ASSERT_PTR_NULL(wrong);
+	g_free(wrong);
+	return stops;
+}
+
+/* A gang that waited for a slice takes the place of one that had its slice, not before. */
+static void test_gang_takes_turn(void)
+{
+	struct sched *s = make_core();
+	job_ref first = submit(s, SEC, "first", 16, false, true, 3600 * SEC);
+	job_ref second;
+
+	CU_ASSERT_EQUAL(pass(s, SEC), 0);
+	CU_ASSERT_EQUAL(sched_job(s, first)->state, SCHED_JOB_RUNNING);
+	second = submit(s, 2 * SEC, "second", 16, false, true, 3600 * SEC);
+	CU_ASSERT_EQUAL(pass(s, 30 * SEC), 0);
+	CU_ASSERT_EQUAL(pass(s, 70 * SEC), 1);
+	CU_ASSERT_EQUAL(sched_job(s, second)->state, SCHED_JOB_CLAIMING);
+	for (uint32_t i = 0; i < 2; i++)
+		sched_member_ended(s, 71 * SEC, first, 1, i, MEMBER_END_STOPPED, 69 * SEC);
+	CU_ASSERT_EQUAL(pass(s, 71 * SEC), 0);
+	CU_ASSERT_EQUAL(sched_job(s, second)->state, SCHED_JOB_RUNNING);
+	CU_ASSERT_EQUAL(sched_job(s, first)->state, SCHED_JOB_QUEUED);
+	CU_ASSERT_EQUAL(pass(s, 100 * SEC), 0);
+	CU_ASSERT_EQUAL(pass(s, 140 * SEC), 1);
+	sched_free(s);
+}
+
+/* A gang does not take the place of one whose work would be lost. */
+static void test_no_turn_at_a_loss(void)
+{
+	struct sched *s = make_core();
+
+	submit(s, SEC, "first", 16, false, false, 3600 * SEC);
+	CU_ASSERT_EQUAL(pass(s, SEC), 0);
+	submit(s, 2 * SEC, "second", 16, false, true, 60 * SEC);
+	CU_ASSERT_EQUAL(pass(s, 200 * SEC), 0);
+	sched_free(s);
+}
+
+/* An urgent job outside its guarantee stops a borrower after its patience, at a small loss. */
+static void test_urgent_displaces(void)
+{
+	struct sched *s = make_core();
+	job_ref urgent;
+
+	submit(s, SEC, "long", 16, false, true, 3600 * SEC);
+	CU_ASSERT_EQUAL(pass(s, SEC), 0);
+	urgent = submit(s, 10 * SEC, "urgent", 1, true, false, SEC);
+	CU_ASSERT_EQUAL(pass(s, 10 * SEC), 0);
+	CU_ASSERT_EQUAL(pass(s, 13 * SEC), 1);
+	CU_ASSERT_EQUAL(sched_job(s, urgent)->state, SCHED_JOB_CLAIMING);
+	sched_free(s);
+}
+
+void unit_sched(CU_pSuite s)
+{
+	CU_add_test(s, "a gang takes its turn", test_gang_takes_turn);
+	CU_add_test(s, "no turn at a loss", test_no_turn_at_a_loss);
+	CU_add_test(s, "an urgent job displaces a borrower", test_urgent_displaces);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -6,5 +6,6 @@
 void unit_base(CU_pSuite s);
 void unit_state(CU_pSuite s);
 void unit_agent(CU_pSuite s);
+void unit_sched(CU_pSuite s);
 
 #endif
