--- a/packages/coordination/agent-core.c
+++ b/packages/coordination/agent-core.c
@@ -29,6 +29,8 @@
 	int64_t last_tick;
 	struct agent_upstream upstream;
 	GHashTable *members;
+	size_t live;
+	uint32_t busy;
 	GHashTable *voids;
 	GQueue void_order;
 };
@@ -123,14 +125,7 @@
 /* Number of members that are not ended. */
 size_t agent_core_live(const struct agent_core *a)
 {
-	GHashTableIter it;
-	gpointer value;
-	size_t n = 0;
-
-	g_hash_table_iter_init(&it, a->members);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += is_live(value);
-	return n;
+	return a->live;
 }
 
 /* Number of ended members that the coordinator has not acknowledged. */
@@ -152,17 +147,7 @@
 /* Accelerators of the members that are not ended. */
 uint32_t agent_core_busy(const struct agent_core *a)
 {
-	GHashTableIter it;
-	gpointer value;
-	uint32_t n = 0;
-
-	g_hash_table_iter_init(&it, a->members);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct agent_member *m = value;
-
-		n += is_live(m) ? m->record.accelerators : 0;
-	}
-	return n;
+	return a->busy;
 }
 
 /* Whether new members are taken. */
@@ -306,6 +291,10 @@
 static void end_member(
 	struct agent_core *a, int64_t now, struct agent_member *mb, enum member_end end)
 {
+	if (is_live(mb)) {
+		a->live--;
+		a->busy -= mb->record.accelerators;
+	}
 	mb->record.state = MEMBER_ENDED;
 	mb->record.end = end;
 	mb->ended_at = now;
@@ -399,6 +388,8 @@
 	if (r->size > 1 && r->member == 0)
 		m->gang_seen = xcalloc(r->size, sizeof(*m->gang_seen));
 	g_hash_table_replace(a->members, m->record.spec.id, m);
+	a->live++;
+	a->busy += m->record.accelerators;
 	send_reserved(a, r, NULL);
 	if (r->start)
 		start_member(a, now, m);
