agent: a stopping coordinator returns the jobs that came back to its queue

Cause: a job placed on an agent as that begins to stop is refused there and waits again at a coordinator that leaves; it was not returned to its entry.

--- a/packages/coordination/coord-job.c
+++ b/packages/coordination/coord-job.c
@@ -133,12 +133,13 @@
 
 /*
  * Before a planned stop: place nothing more, and give the jobs that only wait back to the
- * entries that wait for them.
+ * entries that wait for them. Returns how many answers were sent.
  */
-void coord_return_waiting(struct coord *c)
+size_t coord_return_waiting(struct coord *c)
 {
 	GHashTableIter it;
 	gpointer value;
+	size_t sent = 0;
 
 	c->leaving = true;
 	sched_set_settling(c->sched, true);
@@ -152,8 +153,10 @@
 			continue;
 		for (guint i = 0; i < j->waiters->len; i++)
 			give_back(c, j->spec.id, g_array_index(j->waiters, peer_id, i));
+		sent += j->waiters->len;
 		g_array_set_size(j->waiters, 0);
 	}
+	return sent;
 }
 
 /* An entry submits a job, perhaps again. */
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -177,6 +177,9 @@
 {
 	if (a->host.coord == NULL || now < a->hand_over_at)
 		return;
+	/* Jobs that an agent has refused wait again; their return takes until the next tick. */
+	if (coord_return_waiting(a->host.coord) > 0)
+		return;
 	if (!coord_has_successor(a->host.coord, a->name) &&
 		(coord_running(a->host.coord) > 0 || agent_core_unacked(a->core) > 0))
 		return;
