--- a/packages/coordination/coord.c
+++ b/packages/coordination/coord.c
@@ -342,12 +342,6 @@
 	run_actions(c, now);
 }
 
-/* Whether a pass before the next tick may start jobs. */
-bool coord_wants_run(const struct coord *c)
-{
-	return sched_changed(c->sched);
-}
-
 /* Forget the incarnations that went long ago. */
 static void trim_gone(struct coord *c)
 {
--- a/packages/coordination/coord.h
+++ b/packages/coordination/coord.h
@@ -28,7 +28,6 @@
 void coord_closed(struct coord *c, int64_t now, peer_id peer);
 void coord_tick(struct coord *c, int64_t now, int64_t wall);
 void coord_run(struct coord *c, int64_t now);
-bool coord_wants_run(const struct coord *c);
 size_t coord_return_waiting(struct coord *c);
 bool coord_has_successor(struct coord *c, const char *self);
 size_t coord_running(const struct coord *c);
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -698,12 +698,6 @@
 	s->settling = settling;
 }
 
-/* Whether something came or left since the last pass, so that another may start jobs. */
-bool sched_changed(const struct sched *s)
-{
-	return s->dirty && !s->settling;
-}
-
 /* Take the next action; the caller clears it. */
 bool sched_next(struct sched *s, struct sched_action *out)
 {
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -189,7 +189,6 @@
 	uint32_t member, enum member_end end, int64_t saved);
 void sched_forget(struct sched *s, job_ref job);
 void sched_run(struct sched *s, int64_t now);
-bool sched_changed(const struct sched *s);
 bool sched_next(struct sched *s, struct sched_action *out);
 void sched_action_clear(struct sched_action *a);
 struct sched_job *sched_job(struct sched *s, job_ref job);
--- a/packages/daemon/agent-host.c
+++ b/packages/daemon/agent-host.c
@@ -7,7 +7,6 @@
 #define COORD_TICK    (100 * NSEC_PER_MSEC)
 #define CONFIG_PERIOD (2 * NSEC_PER_SEC)
 #define WRITE_RETRY   (500 * NSEC_PER_MSEC)
-#define PASS_REST     4
 
 /* One piece of work on the store; the coordinator of another term no longer wants it. */
 struct host_work {
@@ -231,33 +230,6 @@
 	start_work(a, now);
 }
 
-/* A pass between two ticks. The next one waits for several times as long as this one took. */
-static void on_pass(void *arg)
-{
-	struct agent *a = arg;
-	int64_t began = loop_now(a->p->loop);
-	int64_t ended;
-
-	a->host.pass_due = false;
-	if (a->host.coord == NULL)
-		return;
-	coord_run(a->host.coord, began);
-	ended = loop_now(a->p->loop);
-	a->host.pass_after = ended + PASS_REST * (ended - began);
-}
-
-/* Messages came: run a pass soon, one for all that come together, where it may start jobs. */
-void host_wake(struct agent *a)
-{
-	struct host *h = &a->host;
-	int64_t now = loop_now(a->p->loop);
-
-	if (h->coord == NULL || h->pass_due || !coord_wants_run(h->coord))
-		return;
-	h->pass_due = true;
-	loop_timer_add(a->p->loop, MAX(h->pass_after - now, 0), 0, on_pass, a);
-}
-
 /* The term has been won. */
 void host_start(struct agent *a, int64_t now, struct cell_term *term, GPtrArray *records)
 {
--- a/packages/daemon/agent-private.h
+++ b/packages/daemon/agent-private.h
@@ -39,8 +39,6 @@
 	bool loading;
 	bool store_up;
 	int64_t write_after;
-	int64_t pass_after;
-	bool pass_due;
 };
 
 struct agent {
@@ -77,7 +75,6 @@
 /* agent-host.c: this process as coordinator. */
 void host_start(struct agent *a, int64_t now, struct cell_term *term, GPtrArray *records);
 void host_tick(void *arg);
-void host_wake(struct agent *a);
 void host_step_down(struct agent *a, const char *why);
 void host_release(struct agent *a);
 void host_clear(struct agent *a);
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -150,7 +150,6 @@
 		on_hello(a, peer, &m.hello);
 	else if (a->host.coord != NULL && g_hash_table_contains(a->inbound, &peer))
 		coord_message(a->host.coord, loop_now(a->p->loop), peer, &m);
-	host_wake(a);
 	msg_clear(&m);
 }
 
