coord, sched: an end that says not run is told only once it is stored

A durable job that ended without having run was answered before its record said so; the next coordinator would have run it again. 'may_run' was set at a start although an attempt of which no member started proves nothing. Change: the answer waits for the record (job_is_told); 'ran' is set only by an end that proves it; leftovers of groups that nobody waits for are dropped after a takeover. New property cases in prop-gang.

--- a/packages/coordination/coord-job.c
+++ b/packages/coordination/coord-job.c
@@ -63,8 +63,20 @@
 	j->in_core = true;
 	j->ref = sched_submit(c->sched, now, &j->spec, j);
 	s = sched_job(c->sched, j->ref);
-	if (j->record_attempt > 0)
-		s->attempt = MAX(j->record_attempt, coord_attempt_floor(c));
+	if (j->record_attempt == 0)
+		return;
+	s->attempt = MAX(j->record_attempt, coord_attempt_floor(c));
+	s->ran = j->spec.idempotent;
+}
+
+/*
+ * Whether a job has ended and that may be told. That a job which must be remembered was not run
+ * is true only once its record says so: the next coordinator would run what the record has
+ * open.
+ */
+bool job_is_told(const struct coord_job *j)
+{
+	return j->ended && !(j->spec.durable && j->result.not_run && j->dirty);
 }
 
 /* Send a job's end, or that it was accepted, to an entry. */
@@ -77,6 +89,16 @@
 	coord_send(c, peer, &m);
 }
 
+/* Send a job's end to all who wait for it, if it may be told. */
+static void answer_waiters(struct coord *c, struct coord_job *j)
+{
+	if (!job_is_told(j))
+		return;
+	for (guint i = 0; i < j->waiters->len; i++)
+		job_answer(c, j, g_array_index(j->waiters, peer_id, i));
+	g_array_set_size(j->waiters, 0);
+}
+
 /* Refuse a job that was never entered. */
 static void refuse(struct coord *c, peer_id peer, const char *id, enum outcome outcome,
 	enum error_kind kind, bool not_run, const char *detail)
@@ -112,13 +134,13 @@
 			"one");
 		return;
 	}
-	if (j->ended) {
+	if (job_is_told(j)) {
 		job_answer(c, j, peer);
 		return;
 	}
-	if (m->wait)
+	if (m->wait || j->ended)
 		add_waiter(j, peer);
-	if (!j->accepting)
+	if (!j->accepting && !j->ended)
 		job_answer(c, j, peer);
 }
 
@@ -148,7 +170,7 @@
 		struct coord_job *j = value;
 		const struct sched_job *s = j->in_core ? sched_job(c->sched, j->ref) : NULL;
 
-		if (s == NULL || s->may_run || j->spec.durable ||
+		if (s == NULL || s->ran || j->spec.durable ||
 			(s->state != SCHED_JOB_QUEUED && s->state != SCHED_JOB_CLAIMING))
 			continue;
 		for (guint i = 0; i < j->waiters->len; i++)
@@ -260,9 +282,7 @@
 		counter_add(&jobs_unknown, 1);
 	bytes_clear(&j->spec.payload);
 	job_mark_dirty(j);
-	for (guint i = 0; i < j->waiters->len; i++)
-		job_answer(c, j, g_array_index(j->waiters, peer_id, i));
-	g_array_set_size(j->waiters, 0);
+	answer_waiters(c, j);
 	push_ended(c, j);
 	log_info("coord", "A job ended: %s. job=%s attempt=%u term=%" PRIu64,
 		outcome_name(j->result.outcome), j->spec.id, j->attempt, c->term);
@@ -390,8 +410,10 @@
 		j->write_before_start = false;
 		run_dispatch(c, now, j);
 	}
-	if (j->ended && !j->dirty)
+	if (j->ended && !j->dirty) {
+		answer_waiters(c, j);
 		send_acks(c, j);
+	}
 }
 
 /* A batch was written, or was not. */
--- a/packages/coordination/coord-private.h
+++ b/packages/coordination/coord-private.h
@@ -153,6 +153,7 @@
 void job_submit_core(struct coord *c, int64_t now, struct coord_job *j);
 void job_submit(struct coord *c, int64_t now, peer_id peer, const struct msg_submit *m);
 void job_cancel(struct coord *c, int64_t now, peer_id peer, const struct msg_cancel *m);
+bool job_is_told(const struct coord_job *j);
 void job_answer(struct coord *c, struct coord_job *j, peer_id peer);
 void job_mark_dirty(struct coord_job *j);
 void job_end(struct coord *c, int64_t now, struct coord_job *j, const struct job_result *r);
--- a/packages/coordination/coord-query.c
+++ b/packages/coordination/coord-query.c
@@ -15,6 +15,8 @@
 
 	if (j->accepting)
 		return "accepting";
+	if (j->ended)
+		return "ending";
 	return s != NULL ? names[s->state] : "settling";
 }
 
@@ -27,7 +29,7 @@
 		"organisation", j->spec.org, "class",
 		j->spec.class_name ? j->spec.class_name : "", "kind",
 		j->spec.kind ? j->spec.kind : "", "state",
-		j->ended ? "ended" : live_state(c, j), "accelerators",
+		job_is_told(j) ? "ended" : live_state(c, j), "accelerators",
 		(int)j->spec.accelerators, "within", adjacency_name(j->spec.adjacency),
 		"idempotent", j->spec.idempotent, "attempt", (int)j->attempt, "submitted",
 		when);
@@ -35,7 +37,7 @@
 	(void)now;
 	if (j->placed != NULL && *j->placed != '\0' && !j->ended)
 		json_object_set_new(o, "placed", json_string(j->placed));
-	if (!j->ended)
+	if (!job_is_told(j))
 		return o;
 	json_object_set_new(o, "outcome", json_string(outcome_name(r->outcome)));
 	json_object_set_new(o, "not_run", json_boolean(r->not_run));
@@ -216,7 +218,7 @@
 	struct coord_job *j = strcmp(q->what, "result") == 0 ? job_find(c, q->arg) : NULL;
 	struct msg m = {.kind = MSG_ANSWER};
 
-	if (j == NULL || !j->ended || !may_see(q, j))
+	if (j == NULL || !job_is_told(j) || !may_see(q, j))
 		return false;
 	m.answer = (struct msg_answer){.job = j->spec.id, .term = c->term, .result = j->result};
 	m.answer.request = q->request;
--- a/packages/coordination/coord-settle.c
+++ b/packages/coordination/coord-settle.c
@@ -201,6 +201,17 @@
 	return group->len == ((struct coord_found *)group->pdata[0])->record.size;
 }
 
+/* Send the ends of a group through the ordinary path. */
+static void replay_ends(struct coord *c, int64_t now, const GPtrArray *group)
+{
+	for (guint i = 0; i < group->len; i++) {
+		struct coord_found *f = group->pdata[i];
+
+		if (f->record.state == MEMBER_ENDED)
+			replay_end(c, now, f->agent, &f->record);
+	}
+}
+
 /* Release the reservations of a group. */
 static void release_group(struct coord *c, const GPtrArray *group)
 {
@@ -260,12 +271,7 @@
 	if (whole)
 		finish_start(c, j, group);
 	run_actions(c, now);
-	for (uint32_t i = 0; i < len; i++) {
-		struct coord_found *f = group->pdata[i];
-
-		if (f->record.state == MEMBER_ENDED)
-			replay_end(c, now, f->agent, &f->record);
-	}
+	replay_ends(c, now, group);
 }
 
 /* Whether each member of a group belongs to a worker that we know. */
@@ -278,18 +284,17 @@
 	return true;
 }
 
-/*
- * Whether a group is only what is left of a job that may run again and that nobody waits for:
- * its caller had the answer from the coordinator before us.
- */
-static bool is_leftover(struct coord *c, const GPtrArray *group)
+/* Whether a job of the found is known and goes on, or has an entry that waits for it. */
+static bool is_wanted(struct coord *c, const struct job_spec *spec)
 {
-	const struct coord_found *first = group->pdata[0];
-	const struct coord_job *j = job_find(c, first->record.spec.id);
+	const struct coord_job *j = job_find(c, spec->id);
 
-	if (!first->record.spec.idempotent || first->record.spec.durable || is_whole(group) ||
-		(j != NULL && (j->in_core || j->ended || j->waiters->len > 0)))
-		return false;
+	return spec->durable || (j != NULL && (j->in_core || j->ended || j->waiters->len > 0));
+}
+
+/* Whether all members of a group have ended. */
+static bool all_ended(const GPtrArray *group)
+{
 	for (guint i = 0; i < group->len; i++) {
 		if (((struct coord_found *)group->pdata[i])->record.state != MEMBER_ENDED)
 			return false;
@@ -297,14 +302,26 @@
 	return true;
 }
 
-/* Acknowledge the ends of a group, of which nothing else comes. */
-static void drop_group(struct coord *c, int64_t now, const GPtrArray *group)
+/*
+ * Whether a group is only what is left of a job that nobody waits for any more, as the
+ * coordinator before us has answered: of one that never started, which may have been cancelled,
+ * or in part of one that may run again. An entry that still wants it submits it again.
+ */
+static bool is_leftover(struct coord *c, const GPtrArray *group)
 {
-	for (guint i = 0; i < group->len; i++) {
-		struct coord_found *f = group->pdata[i];
+	const struct job_spec *spec = &((struct coord_found *)group->pdata[0])->record.spec;
 
-		replay_end(c, now, f->agent, &f->record);
-	}
+	if (is_wanted(c, spec))
+		return false;
+	return none_started(group) ||
+	       (spec->idempotent && !is_whole(group) && all_ended(group));
+}
+
+/* Acknowledge the ends of a group and release its reservations. */
+static void drop_group(struct coord *c, int64_t now, const GPtrArray *group)
+{
+	release_group(c, group);
+	replay_ends(c, now, group);
 }
 
 /* Decide on one job that was found. */
--- a/packages/coordination/sched-admit.c
+++ b/packages/coordination/sched-admit.c
@@ -106,7 +106,7 @@
 	for (guint i = 0; i < out->len; i++) {
 		struct sched_job *j = out->pdata[i];
 
-		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, !j->may_run,
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_IMPOSSIBLE, !j->ran,
 			"the configuration changed: all that could take the job is guaranteed "
 			"to others");
 	}
--- a/packages/coordination/sched.c
+++ b/packages/coordination/sched.c
@@ -432,6 +432,7 @@
 		f.members[i].need = res_need(j, members[i].accelerators);
 	j->estimate = learn_estimate(s, j);
 	j->attempt = attempt;
+	j->ran = attempt > 1 && j->idempotent;
 	j->submitted = now - running;
 	j->started_at = now - running;
 	j->placed_at = j->started_at;
@@ -462,11 +463,11 @@
 	switch (j->state) {
 	case SCHED_JOB_CLAIMING:
 		sched_give_back(s, j);
-		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, j->attempt == 0,
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->ran,
 			"cancelled before it started");
 		break;
 	case SCHED_JOB_QUEUED:
-		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, j->attempt == 0,
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->ran,
 			"cancelled before it started");
 		break;
 	case SCHED_JOB_PLACING:
@@ -490,7 +491,6 @@
 	if (j == NULL || j->attempt != attempt || j->started_at != 0)
 		return;
 	j->started_at = now;
-	j->may_run = true;
 	if (j->state == SCHED_JOB_PLACING)
 		j->state = SCHED_JOB_RUNNING;
 }
@@ -518,7 +518,7 @@
 		return;
 	sched_give_back(s, j);
 	if (j->cancel_wanted)
-		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->may_run,
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->ran,
 			"cancelled before it started");
 	else
 		requeue(s, now, j, RESERVE_BACKOFF);
@@ -575,7 +575,7 @@
 static void settle_failed(
 	struct sched *s, int64_t now, struct sched_job *j, const struct ends *e, uint32_t size)
 {
-	if (e->never == size) {
+	if (e->never == size && !j->partial) {
 		requeue(s, now, j, RESERVE_BACKOFF);
 		return;
 	}
@@ -610,14 +610,14 @@
 	judge_workers(s, now, j);
 	if (done && j->started_at > 0)
 		learn_sample(s, j, now - j->started_at + j->saved);
-	if (e.never < size)
-		j->may_run = true;
+	if (e.never < size || j->partial)
+		j->ran = true;
 	sched_give_back(s, j);
 	if (done)
 		sched_end(s, j, OUTCOME_DONE, ERR_INTERNAL, false, "done");
 	else if (j->cancel_wanted)
-		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->may_run,
-			j->may_run ? "cancelled while it ran" : "cancelled before it started");
+		sched_end(s, j, OUTCOME_CANCELLED, ERR_CANCELLED, !j->ran,
+			j->ran ? "cancelled while it ran" : "cancelled before it started");
 	else
 		settle_failed(s, now, j, &e, size);
 }
@@ -677,7 +677,7 @@
 	for (guint i = 0; i < late->len; i++) {
 		struct sched_job *j = late->pdata[i];
 
-		sched_end(s, j, OUTCOME_NOT_RUN, ERR_DEADLINE, !j->may_run,
+		sched_end(s, j, OUTCOME_NOT_RUN, ERR_DEADLINE, !j->ran,
 			"the deadline passed while the job waited");
 	}
 }
--- a/packages/coordination/sched.h
+++ b/packages/coordination/sched.h
@@ -128,7 +128,8 @@
 	int64_t saved;
 	bool charged;
 	GArray *charges;
-	bool may_run;
+	/* An earlier attempt was not proved never to have started. */
+	bool ran;
 	bool partial;
 	struct sched_member members[SCHED_MEMBERS_MAX];
 	uint32_t members_len;
--- a/tests/property/prop-gang.cc
+++ b/tests/property/prop-gang.cc
@@ -385,6 +385,21 @@
 	submit_open(c, s->id);
 }
 
+/* A caller no longer wants one of the open jobs. */
+static void cancel_one(cell *c, uint32_t x)
+{
+	msg m = {};
+
+	if (c->co == nullptr || c->open.empty())
+		return;
+	auto it = c->open.begin();
+	std::advance(it, x % c->open.size());
+	std::string id = it->first;
+	m.kind = MSG_CANCEL;
+	m.cancel.job = (char *)id.c_str();
+	coord_message(c->co, c->now, ENTRY, &m);
+}
+
 /*
  * A takeover as it mostly goes: all agents find the next coordinator soon, and tasks end and
  * agents restart while it still collects what they run.
@@ -470,6 +485,9 @@
 	case 14:
 		take_over(c, x);
 		break;
+	case 15:
+		cancel_one(c, x);
+		break;
 	default:
 		deliver(c, n, x & 1);
 		break;
