--- a/Makefile
+++ b/Makefile
@@ -5,14 +5,15 @@
 OPT    ?= -O2
 PKGS    = glib-2.0 jansson libfyaml msgpack libmicrohttpd libcurl argtable2 ck libxxhash
 WARN    = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-function
-LAYERS  = base transport protocol state coordination
-INC     = $(patsubst %,-iquote packages/%,$(LAYERS) daemon cli)
+LAYERS  = base transport protocol state coordination workload
+INC     = $(patsubst %,-iquote packages/%,$(LAYERS) daemon cli) -iquote platform
 CFLAGS  = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread $(INC) $(shell pkg-config --cflags $(PKGS))
 CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread -Wall -Wextra $(INC) $(shell pkg-config --cflags $(PKGS))
 LIBS    = $(shell pkg-config --libs $(PKGS)) -lm
 
 layer_objs = $(patsubst packages/%.c,$(BUILD)/%.o,$(wildcard packages/$(1)/*.c))
-LIB_OBJS   = $(foreach l,$(LAYERS),$(call layer_objs,$(l)))
+PLATFORM_OBJS = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(wildcard platform/*.c))
+LIB_OBJS   = $(foreach l,$(LAYERS),$(call layer_objs,$(l))) $(PLATFORM_OBJS)
 LIB        = $(BUILD)/libdamaskpath.a
 BINS       = $(BUILD)/damaskpathd $(BUILD)/damaskpath $(BUILD)/standin-store $(BUILD)/standin-upstream
 
@@ -26,6 +27,10 @@
 	@mkdir -p $(@D)
 	@echo "CC $<"; $(CC) $(CFLAGS) $(WARN) -MMD -c -o $@ $<
 
+$(BUILD)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	@echo "CC $<"; $(CC) $(CFLAGS) $(WARN) -MMD -c -o $@ $<
+
 $(BUILD)/damaskpathd: $(call layer_objs,daemon) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -149,6 +149,44 @@
 	}                                                                                      \
 	struct counter
 
+/* histogram.c: latency histograms, printed with the counters. */
+#define HISTOGRAM_BOUNDS 16
+struct histogram {
+	const char *name;
+	const char *help;
+	uint64_t counts[HISTOGRAM_BOUNDS + 1];
+	uint64_t sum;
+	SLIST_ENTRY(histogram) entry;
+};
+void histogram_register(struct histogram *h);
+void histogram_add(struct histogram *h, int64_t duration);
+void histogram_render(GString *out);
+#define HISTOGRAM(var, hname, hhelp)                                                           \
+	static struct histogram var = {.name = (hname), .help = (hhelp)};                      \
+	__attribute__((constructor)) static void var##_register(void)                          \
+	{                                                                                      \
+		histogram_register(&var);                                                      \
+	}                                                                                      \
+	struct histogram
+
+/* event.c: structured log lines on standard output. */
+enum event_id {
+#define EVENT(id, name, fields, help) id,
+#include "event-table.h"
+#undef EVENT
+	EVENT_COUNT
+};
+struct event_kind {
+	const char *name;
+	const char *fields;
+	const char *help;
+};
+extern const struct event_kind event_kinds[EVENT_COUNT];
+void event_set_process(const char *name);
+void event_log(enum event_id id, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void event_flush(void);
+void event_help(FILE *out);
+
 /* option.c: one table of settings drives flags, environment, checks and help. */
 enum option_type {
 	OPTION_STRING,
--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -17,7 +17,8 @@
 static int64_t system_monotonic(void *arg)
 {
 	(void)arg;
-	return system_read(CLOCK_MONOTONIC);
+	/* Also counts the time that a suspended VM stands still. */
+	return system_read(CLOCK_BOOTTIME);
 }
 
 static int64_t system_wall(void *arg)
--- /dev/null
+++ b/packages/base/histogram.c
@@ -0,0 +1,56 @@
+#include "base.h"
+
+#include <inttypes.h>
+
+/*
+ * Latency histograms with fixed log-linear bounds, so that quantiles can be read to within a
+ * third and histograms of several processes can be added.
+ */
+static const double bounds[HISTOGRAM_BOUNDS] = {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+	0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
+
+static SLIST_HEAD(, histogram) histograms = SLIST_HEAD_INITIALIZER(histograms);
+
+/* Add a histogram to those that are printed; before any thread is started. */
+void histogram_register(struct histogram *h)
+{
+	SLIST_INSERT_HEAD(&histograms, h, entry);
+}
+
+/* Count one duration in nanoseconds. */
+void histogram_add(struct histogram *h, int64_t duration)
+{
+	double s = (double)duration / (double)NSEC_PER_SEC;
+	size_t i = 0;
+
+	while (i < HISTOGRAM_BOUNDS && s > bounds[i])
+		i++;
+	__atomic_fetch_add(&h->counts[i], 1, __ATOMIC_RELAXED);
+	__atomic_fetch_add(&h->sum, duration > 0 ? (uint64_t)duration : 0, __ATOMIC_RELAXED);
+}
+
+/* Append all histograms in the usual text format. */
+void histogram_render(GString *out)
+{
+	const struct histogram *h;
+
+	SLIST_FOREACH(h, &histograms, entry) {
+		uint64_t total = 0;
+
+		g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n", h->name,
+			h->help, h->name);
+		for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++) {
+			total += __atomic_load_n(&h->counts[i], __ATOMIC_RELAXED);
+			g_string_append_printf(out, "%s_bucket{le=\"%g\"} %" PRIu64 "\n",
+				h->name, bounds[i], total);
+		}
+		total += __atomic_load_n(&h->counts[HISTOGRAM_BOUNDS], __ATOMIC_RELAXED);
+		g_string_append_printf(out,
+			"%s_bucket{le=\"+Inf\"} %" PRIu64 "\n%s_sum %.6f\n%s_count %" PRIu64
+			"\n",
+			h->name, total, h->name,
+			(double)__atomic_load_n(&h->sum, __ATOMIC_RELAXED) /
+				(double)NSEC_PER_SEC,
+			h->name, total);
+	}
+}
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -38,4 +38,11 @@
 void entry_free(struct entry *e);
 const char *entry_http_addr(const struct entry *e);
 
+/* wl-process.c: the roles on the users' platform, which serve jobs of steps. */
+enum wl_role {
+	WL_ROLE_ENTRY,
+	WL_ROLE_AGENT
+};
+int wl_process_run(enum wl_role role, const struct options *o);
+
 #endif
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -13,7 +13,9 @@
 enum role {
 	RUN_ENTRY = 1,
 	RUN_AGENT = 2,
-	RUN_STANDALONE = 3
+	RUN_STANDALONE = 3,
+	RUN_WORKLOAD_ENTRY = 4,
+	RUN_WORKLOAD_AGENT = 5
 };
 
 static const struct role_entry {
@@ -24,6 +26,10 @@
 	{"entry", RUN_ENTRY, "serve callers and operators"},
 	{"agent", RUN_AGENT,
 		"stand beside an upstream; coordinate the cell when it falls to us"},
+	{"workload-entry", RUN_WORKLOAD_ENTRY,
+		"serve callers of jobs of steps on the users' platform"},
+	{"workload-agent", RUN_WORKLOAD_AGENT,
+		"stand beside a worker of that platform; coordinate when it falls to us"},
 	{"standalone", RUN_STANDALONE, "all in one process with a store in memory"},
 };
 
@@ -152,8 +158,8 @@
 	       load_config(p->process.store, options_string(o, "config"), err);
 }
 
-/* Run a role until it is stopped. */
-static int run(enum role role, struct options *o)
+/* Run a role of our own deployments until it is stopped. */
+static int run_role(enum role role, struct options *o)
 {
 	struct program p = {.signal_fd = open_signals()};
 	g_autoptr(GError) err = NULL;
@@ -184,6 +190,15 @@
 	return p.exit_code;
 }
 
+/* Run a role until it is stopped. */
+static int run(enum role role, struct options *o)
+{
+	if (role == RUN_WORKLOAD_ENTRY)
+		return wl_process_run(WL_ROLE_ENTRY, o);
+	if (role == RUN_WORKLOAD_AGENT)
+		return wl_process_run(WL_ROLE_AGENT, o);
+	return run_role(role, o);
+}
 /* Take a flag that is not a setting out of the arguments. */
 static bool take_flag(int *argc, char **argv, const char *flag)
 {
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -47,6 +47,8 @@
 		"Longest wait for a coordinator before a new job is refused"},
 	{"stop-limit", OPTION_DURATION, "60s", 0, 86400 * S, NULL,
 		"Longest time that a stop waits for what is in flight"},
+	{"metrics-port", OPTION_NUMBER, "0", 0, 65535, "workload-entry,workload-agent",
+		"Port of the VM's address that serves metrics; 0 for none"},
 	{"config", OPTION_STRING, "", 0, 0, "standalone",
 		"Document to load at the start. Empty: none"},
 };
--- a/packages/transport/http-client.c
+++ b/packages/transport/http-client.c
@@ -99,6 +99,8 @@
 	curl_easy_setopt(t->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT);
+	if (c->fresh)
+		curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (c->timeout > 0)
 		curl_easy_setopt(
 			t->easy, CURLOPT_TIMEOUT_MS, (long)(c->timeout / NSEC_PER_MSEC));
--- a/packages/transport/transport.h
+++ b/packages/transport/transport.h
@@ -106,6 +106,8 @@
 	struct curl_slist *headers;
 	struct bytes body;
 	int64_t timeout;
+	/* Open a connection of its own: those that are open may be dead without a reset. */
+	bool fresh;
 	/* The answer: status is 0 and error set where there is none. */
 	int status;
 	struct bytes answer;
--- /dev/null
+++ b/packages/workload/wl-config.c
@@ -0,0 +1,109 @@
+#include "workload.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void queue_free(void *arg)
+{
+	struct wl_queue *q = arg;
+
+	free(q->name);
+	free(q->host);
+	free(q->prefix);
+	free(q->service);
+	free(q);
+}
+
+static void org_free(void *arg)
+{
+	struct wl_org *o = arg;
+
+	free(o->name);
+	g_ptr_array_unref(o->keys);
+	free(o);
+}
+
+/* An empty configuration. */
+struct wl_config *wl_config_new(void)
+{
+	struct wl_config *c = xcalloc(1, sizeof(*c));
+
+	c->queues = g_ptr_array_new_with_free_func(queue_free);
+	c->orgs = g_ptr_array_new_with_free_func(org_free);
+	c->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	c->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	return c;
+}
+
+/* Add a queue; takes it over. */
+void wl_config_add_queue(struct wl_config *c, struct wl_queue *q)
+{
+	g_ptr_array_add(c->queues, q);
+	g_hash_table_replace(c->by_name, q->name, q);
+}
+
+/* Add an organisation with its keys; takes it over. */
+void wl_config_add_org(struct wl_config *c, struct wl_org *o)
+{
+	g_ptr_array_add(c->orgs, o);
+	for (guint i = 0; i < o->keys->len; i++)
+		g_hash_table_replace(c->by_key, o->keys->pdata[i], o);
+}
+
+void wl_config_free(struct wl_config *c)
+{
+	if (c == NULL)
+		return;
+	g_hash_table_destroy(c->by_key);
+	g_hash_table_destroy(c->by_name);
+	g_ptr_array_unref(c->queues);
+	g_ptr_array_unref(c->orgs);
+	free(c);
+}
+
+/* Find a queue by name. */
+const struct wl_queue *wl_config_queue(const struct wl_config *c, const char *name)
+{
+	return c != NULL && name != NULL ? g_hash_table_lookup(c->by_name, name) : NULL;
+}
+
+/* Find the queue of a host whose prefix is the longest that the path begins with. */
+const struct wl_queue *wl_config_route(
+	const struct wl_config *c, const char *host, const char *path)
+{
+	const struct wl_queue *best = NULL;
+	size_t best_len = 0;
+	size_t host_len = host != NULL ? strcspn(host, ":") : 0;
+
+	for (guint i = 0; i < c->queues->len; i++) {
+		const struct wl_queue *q = c->queues->pdata[i];
+		size_t len = strlen(q->prefix);
+
+		if (len < best_len || strncmp(path, q->prefix, len) != 0)
+			continue;
+		if (strlen(q->host) != host_len ||
+			g_ascii_strncasecmp(host, q->host, host_len) != 0)
+			continue;
+		best = q;
+		best_len = len;
+	}
+	return best;
+}
+
+/* Whose key it is, or NULL. */
+const struct wl_org *wl_config_key(const struct wl_config *c, const char *key)
+{
+	return key != NULL ? g_hash_table_lookup(c->by_key, key) : NULL;
+}
+
+/* Find an organisation by name. */
+const struct wl_org *wl_config_org(const struct wl_config *c, const char *name)
+{
+	for (guint i = 0; c != NULL && name != NULL && i < c->orgs->len; i++) {
+		const struct wl_org *o = c->orgs->pdata[i];
+
+		if (strcmp(o->name, name) == 0)
+			return o;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/packages/workload/wl-job.c
@@ -0,0 +1,424 @@
+#include "wl-private.h"
+
+#include <inttypes.h>
+
+/* The terms of a queue that no configuration has any more. */
+#define FALLBACK_PRIORITY 9
+#define FALLBACK_ATTEMPTS 3
+
+/* Find a job. */
+struct wl_job *wl_find_job(const struct wl *w, const char *id)
+{
+	return g_hash_table_lookup(w->jobs, id);
+}
+
+bool wl_job_has(const struct wl *w, const char *id)
+{
+	return wl_find_job(w, id) != NULL;
+}
+
+/* What one task of a step takes; a filler's cores are not reserved. */
+struct wl_need task_need(const struct wl_step *s)
+{
+	return (struct wl_need){.cores_m = s->filler ? 0 : s->cores_m,
+		.memory_mb = s->memory_mb,
+		.accelerators = s->accelerators};
+}
+
+/* The task's name on a worker: JOB.OCCURRENCE.STEP.INDEX. */
+char *task_name(const struct wl_task *t)
+{
+	char *out;
+
+	xasprintf(&out, "%s.%u.%u.%u", t->unit->job->spec.id, t->unit->occurrence,
+		t->unit->step_index, t->index);
+	return out;
+}
+
+/* How many occurrences a job has. */
+static uint32_t occurrences_of(const struct wl_job *j)
+{
+	return MAX(j->spec.repetitions, 1);
+}
+
+/* When an occurrence is due, in wall nanoseconds; a job without times is due at once. */
+static int64_t due_at(const struct wl_job *j, uint32_t k)
+{
+	if (j->spec.repetitions == 0)
+		return 0;
+	return (j->spec.start_at_ms + (int64_t)k * j->spec.interval_ms) * NSEC_PER_MSEC;
+}
+
+/* When the next occurrence is due, or 0 where none is left. */
+int64_t job_next_due(const struct wl_job *j)
+{
+	if (wl_state_ended(j->state) || j->occurrences_len >= occurrences_of(j))
+		return 0;
+	return due_at(j, j->occurrences_len);
+}
+
+/* Make the units of the next occurrence. */
+static void open_next(struct wl_job *j, int64_t now)
+{
+	uint32_t k = j->occurrences_len;
+	struct wl_unit *units = xcalloc(j->spec.steps_len, sizeof(*units));
+
+	j->occurrences = xreallocarray(j->occurrences, k + 1, sizeof(*j->occurrences));
+	j->occurrences[k] = units;
+	j->occurrences_len++;
+	for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+		struct wl_unit *u = &units[s];
+
+		u->job = j;
+		u->step = &j->spec.steps[s];
+		u->occurrence = k;
+		u->step_index = s;
+		u->waiting = u->step->count;
+		u->ready_at = u->step->after_len == 0 ? now : 0;
+		u->tasks = xcalloc(u->step->count, sizeof(*u->tasks));
+		for (uint32_t i = 0; i < u->step->count; i++) {
+			u->tasks[i].unit = u;
+			u->tasks[i].index = i;
+			u->tasks[i].pace = 100;
+			u->tasks[i].waiting_since = now;
+		}
+	}
+}
+
+/* Open the occurrences that are due. */
+void job_open_due(struct wl_job *j, int64_t now, int64_t wall)
+{
+	while (!wl_state_ended(j->state) && j->occurrences_len < occurrences_of(j) &&
+		due_at(j, j->occurrences_len) <= wall)
+		open_next(j, now);
+}
+
+/* Whether all steps that a unit waits for are done. */
+bool unit_turn(const struct wl_unit *u)
+{
+	const struct wl_unit *units = u->job->occurrences[u->occurrence];
+
+	for (uint32_t i = 0; i < u->step->after_len; i++) {
+		if (!units[u->step->after[i].step].is_done)
+			return false;
+	}
+	return true;
+}
+
+/* Take the terms of the queue from the configuration. */
+void job_refresh(struct wl_job *j)
+{
+	const struct wl_queue *q = wl_config_queue(j->wl->config, j->spec.queue);
+
+	if (q == NULL) {
+		if (j->service == NULL || j->attempts_max == 0) {
+			j->priority = FALLBACK_PRIORITY;
+			j->attempts_max = FALLBACK_ATTEMPTS;
+			j->stretch = 3.0;
+		}
+		j->service = j->spec.service;
+		return;
+	}
+	j->priority = q->priority;
+	j->attempts_max = MAX(q->attempts_max, 1);
+	j->stretch = q->stretch;
+	j->target = q->target_ms * NSEC_PER_MSEC;
+	j->service = q->service;
+	j->approval = q->approval;
+}
+
+/* Say that a job's progress has to be stored. */
+void job_dirty(struct wl_job *j)
+{
+	j->version++;
+	j->wl->out.dirty(j->wl->out.arg, j->spec.id);
+}
+
+/* Take one stored mark into a job whose occurrence is open. */
+static void apply_mark(struct wl_job *j, const struct wl_mark *m)
+{
+	struct wl_unit *u;
+
+	if (m->occurrence >= j->occurrences_len || m->step >= j->spec.steps_len)
+		return;
+	u = &j->occurrences[m->occurrence][m->step];
+	if (m->index == WL_STEP_WHOLE) {
+		u->failures = m->failures;
+		u->failed_attempt = m->failed_attempt;
+		for (uint32_t i = 0; i < u->step->count; i++) {
+			if (m->done && u->tasks[i].phase != TASK_DONE)
+				u->tasks[i].phase = TASK_DONE;
+			if (m->checkpoint != NULL)
+				g_strlcpy(u->tasks[i].checkpoint, m->checkpoint,
+					sizeof(u->tasks[i].checkpoint));
+		}
+		if (m->done) {
+			u->is_done = true;
+			u->done = u->step->count;
+			u->waiting = 0;
+		}
+		return;
+	}
+	if (m->index >= u->step->count)
+		return;
+	u->tasks[m->index].failures = m->failures;
+	u->tasks[m->index].failed_attempt = m->failed_attempt;
+	if (m->checkpoint != NULL)
+		g_strlcpy(u->tasks[m->index].checkpoint, m->checkpoint,
+			sizeof(u->tasks[m->index].checkpoint));
+	if (m->done && u->tasks[m->index].phase != TASK_DONE) {
+		u->tasks[m->index].phase = TASK_DONE;
+		u->done++;
+		u->waiting--;
+		u->is_done = u->done == u->step->count;
+	}
+}
+
+/* Take in a job: a new one, or one with stored progress. */
+void wl_job_add(struct wl *w, int64_t now, int64_t wall, const struct wl_spec *spec,
+	const struct wl_progress *p, bool inherited)
+{
+	struct wl_job *j;
+
+	if (wl_find_job(w, spec->id) != NULL)
+		return;
+	j = xcalloc(1, sizeof(*j));
+	j->wl = w;
+	fields_copy(&wl_spec_fields, &j->spec, spec);
+	j->inherited = inherited;
+	j->added_at = now;
+	job_refresh(j);
+	g_hash_table_insert(w->jobs, j->spec.id, j);
+	TAILQ_INSERT_TAIL(&w->list, j, entry);
+	if (p != NULL && wl_state_ended(p->state)) {
+		j->state = p->state;
+		j->ended_ms = p->ended_ms;
+		return;
+	}
+	j->state = p != NULL ? p->state : WL_QUEUED;
+	job_open_due(j, now, wall);
+	for (uint32_t i = 0; p != NULL && i < p->marks_len; i++) {
+		/* Its progress is stored, so it was due, whatever the clock says now. */
+		while (p->marks[i].occurrence >= j->occurrences_len &&
+			p->marks[i].occurrence < occurrences_of(j))
+			open_next(j, now);
+		apply_mark(j, &p->marks[i]);
+	}
+}
+
+/* End a job: stop what runs, and have the end stored. */
+void job_finish(struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why)
+{
+	if (wl_state_ended(j->state))
+		return;
+	j->state = state;
+	j->ended_ms = wall / NSEC_PER_MSEC;
+	event_log(EV_JOB_END, "job=%s state=%s why=\"%s\" after_ms=%" PRId64, j->spec.id,
+		wl_state_name(state), why, (now - j->added_at) / NSEC_PER_MSEC);
+	job_stop_runs(j, now, why);
+	job_dirty(j);
+}
+
+/* Cancel a job; one that has ended stays as it is. */
+void wl_job_cancel(struct wl *w, int64_t now, int64_t wall, const char *id)
+{
+	struct wl_job *j = wl_find_job(w, id);
+
+	if (j != NULL)
+		job_finish(j, now, wall, WL_CANCELLED, "cancelled by its caller");
+}
+
+/* Add a mark to a list. */
+static void add_mark(GArray *marks, const struct wl_unit *u, uint32_t index, bool done,
+	uint32_t failures, uint32_t failed_attempt, const char *checkpoint)
+{
+	struct wl_mark m = {.occurrence = u->occurrence,
+		.step = u->step_index,
+		.index = index,
+		.done = done,
+		.failures = failures,
+		.failed_attempt = failed_attempt};
+
+	if (!done && *checkpoint != '\0')
+		m.checkpoint = (char *)checkpoint;
+	if (done || failures > 0 || m.checkpoint != NULL)
+		g_array_append_val(marks, m);
+}
+
+/* Collect the marks of a unit. */
+static void unit_marks(GArray *marks, const struct wl_unit *u)
+{
+	if (u->step->gang || u->is_done) {
+		add_mark(marks, u, WL_STEP_WHOLE, u->is_done, u->failures, u->failed_attempt,
+			u->tasks[0].checkpoint);
+		return;
+	}
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		const struct wl_task *t = &u->tasks[i];
+
+		add_mark(marks, u, i, t->phase == TASK_DONE, t->failures, t->failed_attempt,
+			t->checkpoint);
+	}
+}
+
+/* A job's progress as it is stored; empty where the job is not known. */
+struct bytes wl_job_progress(struct wl *w, const char *id, uint64_t *version)
+{
+	struct wl_job *j = wl_find_job(w, id);
+	g_autoptr(GArray) marks = g_array_new(FALSE, FALSE, sizeof(struct wl_mark));
+	struct wl_progress p;
+
+	if (j == NULL)
+		return (struct bytes){0};
+	p = (struct wl_progress){.state = j->state,
+		.queue = j->spec.queue,
+		.org = j->spec.org,
+		.ended_ms = j->ended_ms};
+	for (uint32_t k = 0; !wl_state_ended(j->state) && k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++)
+			unit_marks(marks, &j->occurrences[k][s]);
+	}
+	p.marks = (struct wl_mark *)marks->data;
+	p.marks_len = marks->len;
+	*version = j->version;
+	return fields_encode(&wl_progress_fields, &p);
+}
+
+/* Free a job that has no runs. */
+static void job_free(struct wl_job *j)
+{
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++)
+			free(j->occurrences[k][s].tasks);
+		free(j->occurrences[k]);
+	}
+	free(j->occurrences);
+	fields_clear(&wl_spec_fields, &j->spec);
+	free(j);
+}
+
+/* Whether a job still has a run on a worker. */
+static bool has_runs(const struct wl_job *j)
+{
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+			const struct wl_unit *u = &j->occurrences[k][s];
+
+			for (uint32_t i = 0; i < u->step->count; i++) {
+				if (u->tasks[i].node != NULL)
+					return true;
+			}
+		}
+	}
+	return false;
+}
+
+/* Ids of the ended jobs whose end is stored and that are older than the retention. */
+GPtrArray *wl_jobs_expired(struct wl *w, int64_t wall)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	struct wl_job *j;
+
+	TAILQ_FOREACH(j, &w->list, entry) {
+		if (wl_state_ended(j->state) && j->stored >= j->version && !has_runs(j) &&
+			wall - j->ended_ms * NSEC_PER_MSEC > w->limits.retention)
+			g_ptr_array_add(out, g_strdup(j->spec.id));
+	}
+	return out;
+}
+
+/* Forget an ended job without runs. */
+void wl_job_forget(struct wl *w, const char *id)
+{
+	struct wl_job *j = wl_find_job(w, id);
+
+	if (j == NULL || has_runs(j))
+		return;
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct wl_node *n = w->nodes->pdata[i];
+
+		for (guint k = 0; k < n->end_notes->len; k++) {
+			struct wl_end_note *e =
+				&g_array_index(n->end_notes, struct wl_end_note, k);
+
+			if (e->job == j)
+				e->job = NULL;
+		}
+	}
+	g_hash_table_remove(w->jobs, id);
+	TAILQ_REMOVE(&w->list, j, entry);
+	job_free(j);
+}
+
+/* Find the task that a name stands for, opening its occurrence where it is known to run. */
+struct wl_task *job_task(struct wl *w, const char *name, int64_t now)
+{
+	char id[WL_ID_LEN + 1];
+	unsigned int k, s, i;
+	int used = 0;
+	struct wl_job *j;
+
+	if (name == NULL || sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &k, &s, &i, &used) != 4 ||
+		name[used] != '\0')
+		return NULL;
+	j = wl_find_job(w, id);
+	if (j == NULL || s >= j->spec.steps_len || k >= occurrences_of(j))
+		return NULL;
+	while (k >= j->occurrences_len && !wl_state_ended(j->state))
+		open_next(j, now);
+	if (k >= j->occurrences_len || i >= j->spec.steps[s].count)
+		return NULL;
+	return &j->occurrences[k][s].tasks[i];
+}
+
+/* A core for one coordinator's term. */
+struct wl *wl_new(uint64_t term, const struct wl_limits *limits, const struct wl_out *out)
+{
+	struct wl *w = xcalloc(1, sizeof(*w));
+
+	w->term = term;
+	w->limits = *limits;
+	w->out = *out;
+	w->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	w->nodes = g_ptr_array_new();
+	TAILQ_INIT(&w->list);
+	return w;
+}
+
+/* Free all. */
+void wl_free(struct wl *w)
+{
+	struct wl_job *j;
+
+	if (w == NULL)
+		return;
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct wl_node *n = w->nodes->pdata[i];
+
+		free(n->name);
+		free(n->life);
+		free(n->service);
+		free(n->rack);
+		g_ptr_array_unref(n->labels);
+		g_ptr_array_unref(n->ghosts);
+		g_array_unref(n->end_notes);
+		free(n);
+	}
+	g_ptr_array_unref(w->nodes);
+	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
+		TAILQ_REMOVE(&w->list, j, entry);
+		job_free(j);
+	}
+	g_hash_table_destroy(w->jobs);
+	free(w);
+}
+
+/* Put another configuration in force. */
+void wl_set_config(struct wl *w, const struct wl_config *c)
+{
+	struct wl_job *j;
+
+	w->config = c;
+	TAILQ_FOREACH(j, &w->list, entry)
+		job_refresh(j);
+}
--- /dev/null
+++ b/packages/workload/wl-message.c
@@ -0,0 +1,236 @@
+#include "workload.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The field tables of the structs that are stored or sent; fields may only be added at the end. */
+#define FIELD(k, s, f)                                                                         \
+	{                                                                                      \
+		.kind = (k), .offset = offsetof(struct s, f)                                   \
+	}
+#define U32(s, f)  FIELD(FIELD_U32, s, f)
+#define U64(s, f)  FIELD(FIELD_U64, s, f)
+#define I64(s, f)  FIELD(FIELD_I64, s, f)
+#define BOOL(s, f) FIELD(FIELD_BOOL, s, f)
+#define TEXT(s, f) FIELD(FIELD_TEXT, s, f)
+#define LIST(s, f, t)                                                                          \
+	{                                                                                      \
+		.kind = FIELD_LIST, .offset = offsetof(struct s, f),                           \
+		.len_offset = offsetof(struct s, f##_len), .sub = &t##_fields                  \
+	}
+#define TABLE(s)                                                                               \
+	{                                                                                      \
+		.name = #s, .size = sizeof(struct s), .fields = s##_list,                      \
+		.count = ARRAY_LEN(s##_list)                                                   \
+	}
+
+static const struct field wl_step_ref_list[] = {U32(wl_step_ref, step)};
+static const struct field_table wl_step_ref_fields = TABLE(wl_step_ref);
+
+static const struct field wl_step_list[] = {
+	U32(wl_step, count),
+	U32(wl_step, cores_m),
+	U32(wl_step, memory_mb),
+	U32(wl_step, accelerators),
+	U32(wl_step, estimate_ms),
+	LIST(wl_step, after, wl_step_ref),
+	BOOL(wl_step, checkpoints),
+	BOOL(wl_step, gang),
+	BOOL(wl_step, rack_local),
+	BOOL(wl_step, long_running),
+	BOOL(wl_step, filler),
+	BOOL(wl_step, copies),
+	TEXT(wl_step, label),
+	TEXT(wl_step, data_rack),
+	TEXT(wl_step, image),
+	U32(wl_step, per_worker_max),
+	U32(wl_step, latency_max_ms),
+	U32(wl_step, unavailable_max),
+};
+static const struct field_table wl_step_fields = TABLE(wl_step);
+
+static const struct field wl_spec_list[] = {
+	TEXT(wl_spec, id),
+	TEXT(wl_spec, queue),
+	TEXT(wl_spec, service),
+	TEXT(wl_spec, org),
+	TEXT(wl_spec, payload),
+	LIST(wl_spec, steps, wl_step),
+	U32(wl_spec, repetitions),
+	I64(wl_spec, start_at_ms),
+	I64(wl_spec, interval_ms),
+	I64(wl_spec, accepted_ms),
+};
+const struct field_table wl_spec_fields = TABLE(wl_spec);
+
+static const struct field wl_mark_list[] = {
+	U32(wl_mark, occurrence),
+	U32(wl_mark, step),
+	U32(wl_mark, index),
+	BOOL(wl_mark, done),
+	U32(wl_mark, failures),
+	U32(wl_mark, failed_attempt),
+	TEXT(wl_mark, checkpoint),
+};
+static const struct field_table wl_mark_fields = TABLE(wl_mark);
+
+static const struct field wl_progress_list[] = {
+	U32(wl_progress, state),
+	TEXT(wl_progress, queue),
+	TEXT(wl_progress, org),
+	I64(wl_progress, ended_ms),
+	LIST(wl_progress, marks, wl_mark),
+};
+const struct field_table wl_progress_fields = TABLE(wl_progress);
+
+static const struct field wl_run_list[] = {
+	TEXT(wl_run, task),
+	U32(wl_run, attempt),
+	TEXT(wl_run, checkpoint),
+	U32(wl_run, percent),
+	U32(wl_run, figure),
+};
+static const struct field_table wl_run_fields = TABLE(wl_run);
+
+static const struct field wl_ended_list[] = {
+	U64(wl_ended, number),
+	TEXT(wl_ended, task),
+	U32(wl_ended, attempt),
+	U32(wl_ended, how),
+	TEXT(wl_ended, checkpoint),
+};
+static const struct field_table wl_ended_fields = TABLE(wl_ended);
+
+static const struct field wl_text_list[] = {TEXT(wl_text, text)};
+static const struct field_table wl_text_fields = TABLE(wl_text);
+
+static const struct field wl_report_list[] = {
+	U64(wl_report, term),
+	TEXT(wl_report, node),
+	TEXT(wl_report, life),
+	TEXT(wl_report, service),
+	TEXT(wl_report, rack),
+	LIST(wl_report, labels, wl_text),
+	U32(wl_report, cores_m),
+	U32(wl_report, memory_mb),
+	U32(wl_report, accelerators),
+	BOOL(wl_report, draining),
+	U32(wl_report, drain_remaining_ms),
+	BOOL(wl_report, left),
+	U64(wl_report, covers),
+	LIST(wl_report, runs, wl_run),
+	LIST(wl_report, ends, wl_ended),
+	U64(wl_report, sent_ns),
+};
+static const struct field_table wl_report_fields = TABLE(wl_report);
+
+static const struct field wl_start_list[] = {
+	U64(wl_start, ordinal),
+	TEXT(wl_start, task),
+	U32(wl_start, attempt),
+	TEXT(wl_start, checkpoint),
+	TEXT(wl_start, ticket),
+};
+static const struct field_table wl_start_fields = TABLE(wl_start);
+
+static const struct field wl_start_order_list[] = {
+	U64(wl_start_order, term),
+	TEXT(wl_start_order, life),
+	TEXT(wl_start_order, payload),
+	LIST(wl_start_order, starts, wl_start),
+};
+static const struct field_table wl_start_order_fields = TABLE(wl_start_order);
+
+static const struct field wl_stop_order_list[] = {
+	U64(wl_stop_order, term),
+	TEXT(wl_stop_order, life),
+	TEXT(wl_stop_order, task),
+	U32(wl_stop_order, attempt),
+};
+static const struct field_table wl_stop_order_fields = TABLE(wl_stop_order);
+
+static const struct field wl_pace_order_list[] = {
+	U64(wl_pace_order, term),
+	TEXT(wl_pace_order, life),
+	TEXT(wl_pace_order, task),
+	U32(wl_pace_order, attempt),
+	U32(wl_pace_order, percent),
+};
+static const struct field_table wl_pace_order_fields = TABLE(wl_pace_order);
+
+static const struct field wl_answer_note_list[] = {
+	U64(wl_answer_note, term),
+	TEXT(wl_answer_note, life),
+	U64(wl_answer_note, ordinal),
+	TEXT(wl_answer_note, task),
+	U32(wl_answer_note, attempt),
+	U32(wl_answer_note, answer),
+};
+static const struct field_table wl_answer_note_fields = TABLE(wl_answer_note);
+
+static const struct field wl_lead_beat_list[] = {
+	U64(wl_lead_beat, term),
+	U32(wl_lead_beat, age_ms),
+	BOOL(wl_lead_beat, stopping),
+	U64(wl_lead_beat, echo_ns),
+};
+static const struct field_table wl_lead_beat_fields = TABLE(wl_lead_beat);
+
+static const struct field wl_hello_list[] = {
+	TEXT(wl_hello, node),
+	TEXT(wl_hello, zone),
+	U64(wl_hello, term),
+};
+static const struct field_table wl_hello_fields = TABLE(wl_hello);
+
+static const struct field wl_stored_list[] = {
+	U64(wl_stored, term),
+	TEXT(wl_stored, life),
+	U64(wl_stored, number),
+};
+static const struct field_table wl_stored_fields = TABLE(wl_stored);
+
+static const struct field_table *const tables[WL_MSG_END] = {
+	[WL_MSG_HELLO] = &wl_hello_fields,
+	[WL_MSG_LEAD_BEAT] = &wl_lead_beat_fields,
+	[WL_MSG_REPORT] = &wl_report_fields,
+	[WL_MSG_ANSWER] = &wl_answer_note_fields,
+	[WL_MSG_START] = &wl_start_order_fields,
+	[WL_MSG_STOP] = &wl_stop_order_fields,
+	[WL_MSG_PACE] = &wl_pace_order_fields,
+	[WL_MSG_STORED] = &wl_stored_fields,
+};
+
+/* Encode a message: its kind as one byte, then its fields. */
+struct bytes wl_msg_encode(const struct wl_msg *m)
+{
+	struct bytes body = fields_encode(tables[m->kind], &m->hello);
+	struct bytes out = {.len = body.len + 1};
+	uint8_t *data = xmalloc(out.len);
+
+	data[0] = (uint8_t)m->kind;
+	memcpy(data + 1, body.data, body.len);
+	out.data = data;
+	bytes_clear(&body);
+	return out;
+}
+
+/* Decode a message into a zeroed struct. */
+bool wl_msg_decode(struct wl_msg *m, const void *data, size_t len, GError **err)
+{
+	const uint8_t *p = data;
+
+	if (len < 1 || p[0] >= WL_MSG_END || tables[p[0]] == NULL) {
+		error_set(err, ERR_PROTOCOL, "a message of an unknown kind");
+		return false;
+	}
+	m->kind = (enum wl_msg_kind)p[0];
+	return fields_decode(tables[m->kind], &m->hello, p + 1, len - 1, err);
+}
+
+/* Free what a message holds. */
+void wl_msg_clear(struct wl_msg *m)
+{
+	if (m->kind < WL_MSG_END && tables[m->kind] != NULL)
+		fields_clear(tables[m->kind], &m->hello);
+}
--- /dev/null
+++ b/packages/workload/wl-pass.c
@@ -0,0 +1,292 @@
+#include "wl-private.h"
+
+#include <inttypes.h>
+
+/* How many units that find no place may keep room for themselves, in order. */
+#define RESERVATIONS_MAX 3
+/* A rack-local unit spreads over racks once it has waited this share of its run time. */
+#define SPREAD_AFTER 0.5
+/* An estimate is missing: take a task to run for so long. */
+#define ESTIMATE_DEFAULT_MS 5000
+/* A gang whose members cannot all be found is started again after this. */
+#define GANG_STALL (2 * NSEC_PER_SEC)
+/* Without events, a pass after at most this. */
+#define PASS_IDLE NSEC_PER_SEC
+
+/* Time that a run of a step takes as far as is known. */
+static int64_t estimate(const struct wl_step *s)
+{
+	return (int64_t)(s->estimate_ms > 0 ? s->estimate_ms : ESTIMATE_DEFAULT_MS) *
+	       NSEC_PER_MSEC;
+}
+
+/* Compute the room of each worker from what is attached to it. */
+static void compute_room(struct wl *w)
+{
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct wl_node *n = w->nodes->pdata[i];
+		struct wl_task *t;
+
+		n->free = (struct wl_room){.cores_m = n->capacity.cores_m,
+			.memory_mb = n->capacity.memory_mb,
+			.accelerators = n->capacity.accelerators};
+		n->soon = n->free;
+		TAILQ_FOREACH(t, &n->tasks, on_node) {
+			struct wl_need need = task_need(t->unit->step);
+
+			room_take(&n->free, &need);
+			if (t->phase != TASK_STOPPING && t->phase != TASK_DONE)
+				room_take(&n->soon, &need);
+		}
+		for (guint k = 0; k < n->ghosts->len; k++)
+			room_take(&n->free, &((struct wl_ghost *)n->ghosts->pdata[k])->need);
+	}
+}
+
+/* A unit whose turn has come, with its place in the order. */
+struct candidate {
+	struct wl_unit *unit;
+	bool entitled;
+	/* Time left until it must start to meet its objective; late ones go behind. */
+	int64_t slack;
+	bool late;
+};
+
+/* The longest chain of estimates from a step to the end of the job. */
+static int64_t chain_from(const struct wl_job *j, uint32_t step)
+{
+	int64_t behind = 0;
+
+	for (uint32_t s = step + 1; s < j->spec.steps_len; s++) {
+		for (uint32_t k = 0; k < j->spec.steps[s].after_len; k++) {
+			if (j->spec.steps[s].after[k].step == step)
+				behind = MAX(behind, chain_from(j, s));
+		}
+	}
+	return estimate(&j->spec.steps[step]) + behind;
+}
+
+/* The longest chain of the whole job. */
+static int64_t chain_of(const struct wl_job *j)
+{
+	int64_t longest = 0;
+
+	for (uint32_t s = 0; s < j->spec.steps_len; s++)
+		longest = MAX(longest, chain_from(j, s));
+	return longest;
+}
+
+/* Order: by priority; within, those that still can be in time by slack, then the late ones. */
+static gint compare(gconstpointer pa, gconstpointer pb)
+{
+	const struct candidate *a = pa;
+	const struct candidate *b = pb;
+	const struct wl_job *ja = a->unit->job;
+	const struct wl_job *jb = b->unit->job;
+
+	if (ja->priority != jb->priority)
+		return ja->priority < jb->priority ? -1 : 1;
+	if (a->entitled != b->entitled)
+		return a->entitled ? -1 : 1;
+	if (a->late != b->late)
+		return a->late ? 1 : -1;
+	if (a->slack != b->slack)
+		return a->slack < b->slack ? -1 : 1;
+	return a->unit < b->unit ? -1 : 1;
+}
+
+/* A gang that has lost members stops the rest, so that it can start again whole. */
+static void mend_gang(struct wl *w, struct wl_unit *u, int64_t now)
+{
+	uint32_t attached = 0;
+	int64_t newest = 0;
+
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		attached += u->tasks[i].node != NULL;
+		newest = MAX(newest, MAX(u->tasks[i].placed_at, u->tasks[i].waiting_since));
+	}
+	if (attached == 0 || u->waiting == 0 || nodes_unsure(w) || now - newest < GANG_STALL)
+		return;
+	unit_stop(u, now, "the gang is not whole", NULL);
+}
+
+/* Whether a unit may be placed now. */
+static bool is_ready(struct wl *w, struct wl_unit *u, int64_t now)
+{
+	if (u->is_done || u->waiting == 0 || u->retry_at > now || !unit_turn(u))
+		return false;
+	if (u->job->inherited && nodes_unsure(w))
+		return false;
+	if (u->step->gang && u->waiting < u->step->count) {
+		mend_gang(w, u, now);
+		return false;
+	}
+	return true;
+}
+
+/* Add the units of a job that may be placed now. */
+static void collect(struct wl *w, struct wl_job *j, int64_t now, GArray *out)
+{
+	int64_t chain = chain_of(j);
+
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+			struct wl_unit *u = &j->occurrences[k][s];
+			struct candidate c = {.unit = u};
+			int64_t goal;
+
+			if (!is_ready(w, u, now))
+				continue;
+			if (u->ready_at == 0)
+				u->ready_at = now;
+			c.entitled = s == 0 && unit_entitled(w, u);
+			goal = (int64_t)((double)chain * j->stretch) + j->target;
+			c.slack = j->added_at + goal - now - chain_from(j, s);
+			if (j->spec.repetitions > 0)
+				c.slack = u->ready_at + goal - now - chain_from(j, s);
+			c.late = c.slack < 0;
+			if (c.late)
+				c.slack += 2 * goal;
+			g_array_append_val(out, c);
+		}
+	}
+}
+
+/* Send the starts of one unit, those for one worker together. */
+static void start_planned(struct wl *w, struct wl_unit *u, const GArray *plan, int64_t now)
+{
+	uint32_t attempt = next_attempt(w, u->attempt);
+
+	for (guint i = 0; i < plan->len; i++) {
+		const struct plan *first = &g_array_index(plan, struct plan, i);
+		struct wl_node *n = first->node;
+		g_autoptr(GArray) starts = g_array_new(FALSE, TRUE, sizeof(struct wl_start));
+		struct wl_start_order o = {
+			.term = w->term, .life = n->life, .payload = u->job->spec.payload};
+
+		for (guint k = i; k < plan->len; k++) {
+			const struct plan *p = &g_array_index(plan, struct plan, k);
+			struct wl_task *t = p->task;
+			struct wl_start s = {.ordinal = w->ordinal + 1};
+
+			if (p->node != n || t->node != NULL)
+				continue;
+			w->ordinal++;
+			s.task = task_name(t);
+			s.attempt = u->step->gang ? attempt : next_attempt(w, t->attempt);
+			s.checkpoint = t->checkpoint;
+			task_attach(t, n, s.attempt);
+			t->phase = TASK_STARTING;
+			t->ordinal = s.ordinal;
+			t->placed_at = now;
+			t->running_at = 0;
+			t->stop_sent = 0;
+			event_log(EV_TASK_START,
+				"task=%s attempt=%u node=%s checkpoint=%s waited_ms=%" PRId64,
+				s.task, s.attempt, n->name, t->checkpoint,
+				(now - t->waiting_since) / NSEC_PER_MSEC);
+			g_array_append_val(starts, s);
+		}
+		if (starts->len == 0)
+			continue;
+		o.starts = (struct wl_start *)starts->data;
+		o.starts_len = starts->len;
+		w->out.start(w->out.arg, n->name, &o);
+		for (guint k = 0; k < starts->len; k++)
+			free(g_array_index(starts, struct wl_start, k).task);
+	}
+}
+
+/* Take from both rooms what a plan on one of them has taken. */
+static void mirror(const GArray *plan, enum plan_room taken)
+{
+	for (guint i = 0; i < plan->len; i++) {
+		const struct plan *p = &g_array_index(plan, struct plan, i);
+		struct wl_need need = task_need(p->task->unit->step);
+
+		room_take(taken == PLAN_FREE ? &p->node->soon : &p->node->free, &need);
+	}
+}
+
+/* Whether a rack-local unit may spread over racks now. */
+static bool may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
+{
+	return !u->step->rack_local || !rack_feasible(w, u, now) ||
+	       now - u->ready_at > (int64_t)(SPREAD_AFTER * (double)estimate(u->step));
+}
+
+/* Try one kind of room; the plan is kept where it places enough. */
+static bool try_place(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room,
+	GArray *plan)
+{
+	if (place_unit(w, u, now, room, false, plan) > 0)
+		return true;
+	return u->step->rack_local && may_spread(w, u, now) &&
+	       place_unit(w, u, now, room, true, plan) > 0;
+}
+
+/* Place a unit, wait for room that is being freed, or make room for it. */
+static void decide(struct wl *w, struct candidate *c, int64_t now, unsigned int *reservations)
+{
+	g_autoptr(GArray) plan = g_array_new(FALSE, FALSE, sizeof(struct plan));
+	struct wl_unit *u = c->unit;
+
+	if (try_place(w, u, now, PLAN_FREE, plan)) {
+		mirror(plan, PLAN_FREE);
+		start_planned(w, u, plan, now);
+		if (u->waiting == 0)
+			return;
+		g_array_set_size(plan, 0);
+	}
+	if (u->step->gang || c->entitled) {
+		/* What is being stopped is kept for those that wait for it, in order. */
+		if (try_place(w, u, now, PLAN_SOON, plan) && plan->len == u->waiting) {
+			mirror(plan, PLAN_SOON);
+			return;
+		}
+		for (guint i = 0; i < plan->len; i++) {
+			const struct plan *p = &g_array_index(plan, struct plan, i);
+			struct wl_need need = task_need(u->step);
+
+			room_give(&p->node->soon, &need);
+		}
+		g_array_set_size(plan, 0);
+	}
+	if (c->entitled && reclaim_for(w, u, now, plan)) {
+		mirror(plan, PLAN_SOON);
+		return;
+	}
+	if (u->step->gang && *reservations < RESERVATIONS_MAX)
+		(*reservations)++;
+}
+
+/* Place what can be placed. */
+int64_t wl_pass(struct wl *w, int64_t now, int64_t wall)
+{
+	g_autoptr(GArray) order = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	unsigned int reservations = 0;
+	int64_t next = PASS_IDLE;
+	struct wl_job *j;
+
+	if (w->config == NULL)
+		return next;
+	compute_room(w);
+	TAILQ_FOREACH(j, &w->list, entry) {
+		int64_t due;
+
+		if (wl_state_ended(j->state))
+			continue;
+		job_open_due(j, now, wall);
+		due = job_next_due(j);
+		if (due > 0)
+			next = MIN(next, MAX(due - wall, NSEC_PER_MSEC));
+		collect(w, j, now, order);
+	}
+	g_array_sort(order, compare);
+	for (guint i = 0; i < order->len; i++) {
+		struct candidate *c = &g_array_index(order, struct candidate, i);
+
+		decide(w, c, now, &reservations);
+	}
+	return order->len > 0 ? MIN(next, 100 * NSEC_PER_MSEC) : next;
+}
--- /dev/null
+++ b/packages/workload/wl-place.c
@@ -0,0 +1,286 @@
+#include "wl-private.h"
+
+/* A worker with more than this held against it is taken only when no other fits. */
+#define STRIKES_AVOID 0.7
+
+/* Whether a need fits into a room. */
+bool room_fits(const struct wl_room *r, const struct wl_need *n)
+{
+	return r->cores_m >= n->cores_m && r->memory_mb >= n->memory_mb &&
+	       r->accelerators >= n->accelerators;
+}
+
+void room_take(struct wl_room *r, const struct wl_need *n)
+{
+	r->cores_m -= n->cores_m;
+	r->memory_mb -= n->memory_mb;
+	r->accelerators -= n->accelerators;
+}
+
+void room_give(struct wl_room *r, const struct wl_need *n)
+{
+	r->cores_m += n->cores_m;
+	r->memory_mb += n->memory_mb;
+	r->accelerators += n->accelerators;
+}
+
+/* Whether a worker has a label. */
+static bool has_label(const struct wl_node *n, const char *label)
+{
+	for (guint i = 0; i < n->labels->len; i++) {
+		if (g_strcmp0(n->labels->pdata[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Whether tasks of a unit may run on a worker at all. */
+bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now)
+{
+	return node_usable(n, now) && g_strcmp0(n->service, u->job->service) == 0 &&
+	       (u->step->label == NULL || has_label(n, u->step->label));
+}
+
+/* Runs of the unit on a worker, with those of the plan. */
+static uint32_t on_node(const struct wl_unit *u, const struct wl_node *n, const GArray *plan)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < u->step->count; i++)
+		count += u->tasks[i].node == n;
+	for (guint i = 0; i < plan->len; i++) {
+		const struct plan *p = &g_array_index(plan, struct plan, i);
+
+		count += p->task->unit == u && p->node == n;
+	}
+	return count;
+}
+
+/* What counts against putting a task on a worker; smaller is better. */
+struct place_cost {
+	double suspicion;
+	int64_t off_rack;
+	int64_t accelerators_left;
+	int64_t cores_left;
+};
+
+static struct place_cost cost_of(const struct wl_node *n, const struct wl_room *r,
+	const struct wl_task *t, const struct wl_need *need, int64_t now)
+{
+	double strikes = node_strikes(n, now) + (t->avoid == n ? 1.0 : 0.0);
+	const char *data_rack = t->unit->step->data_rack;
+
+	return (struct place_cost){.suspicion = strikes > STRIKES_AVOID ? strikes : 0,
+		.off_rack = data_rack != NULL && g_strcmp0(data_rack, n->rack) != 0,
+		.accelerators_left = r->accelerators - need->accelerators,
+		.cores_left = r->cores_m - need->cores_m};
+}
+
+/* Whether a is better than b: trusted, near its data, and the tightest fit. */
+static bool cost_less(const struct place_cost *a, const struct place_cost *b)
+{
+	if (a->suspicion != b->suspicion)
+		return a->suspicion < b->suspicion;
+	if (a->off_rack != b->off_rack)
+		return a->off_rack < b->off_rack;
+	if (a->accelerators_left != b->accelerators_left)
+		return a->accelerators_left < b->accelerators_left;
+	return a->cores_left < b->cores_left;
+}
+
+/* The room of a node that a plan counts on. */
+static struct wl_room *room_of(struct wl_node *n, enum plan_room which)
+{
+	return which == PLAN_FREE ? &n->free : &n->soon;
+}
+
+/* The best worker for a task, in one rack where rack is not NULL. */
+static struct wl_node *best_node(struct wl *w, const struct wl_task *t, int64_t now,
+	enum plan_room which, const char *rack, const GArray *plan)
+{
+	struct wl_need need = task_need(t->unit->step);
+	struct wl_node *best = NULL;
+	struct place_cost least = {0};
+
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct wl_node *n = w->nodes->pdata[i];
+		struct wl_room *r = room_of(n, which);
+		struct place_cost c;
+
+		if (!node_suits(n, t->unit, now) || !room_fits(r, &need))
+			continue;
+		if (rack != NULL && g_strcmp0(rack, n->rack) != 0)
+			continue;
+		if (t->unit->step->per_worker_max > 0 &&
+			on_node(t->unit, n, plan) >= t->unit->step->per_worker_max)
+			continue;
+		c = cost_of(n, r, t, &need, now);
+		if (best == NULL || cost_less(&c, &least)) {
+			best = n;
+			least = c;
+		}
+	}
+	return best;
+}
+
+/* Place the waiting tasks of a unit one by one; returns how many found a place. */
+static uint32_t place_tasks(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room which,
+	const char *rack, GArray *out)
+{
+	struct wl_need need = task_need(u->step);
+	uint32_t placed = 0;
+
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		struct wl_task *t = &u->tasks[i];
+		struct plan p = {.task = t};
+
+		if (t->phase != TASK_WAITING || t->node != NULL)
+			continue;
+		p.node = best_node(w, t, now, which, rack, out);
+		if (p.node == NULL) {
+			if (u->step->gang)
+				break;
+			/* All tasks of a unit ask for the same. */
+			if (t->avoid == NULL)
+				break;
+			continue;
+		}
+		room_take(room_of(p.node, which), &need);
+		g_array_append_val(out, p);
+		placed++;
+	}
+	return placed;
+}
+
+/* Take back the plan behind a position. */
+static void undo(GArray *plan, guint from, enum plan_room which)
+{
+	for (guint i = from; i < plan->len; i++) {
+		const struct plan *p = &g_array_index(plan, struct plan, i);
+		struct wl_need need = task_need(p->task->unit->step);
+
+		room_give(room_of(p->node, which), &need);
+	}
+	g_array_set_size(plan, from);
+}
+
+/* How many racks there are, and their names; owned by the nodes. */
+static GPtrArray *racks_of(const struct wl *w)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < w->nodes->len; i++) {
+		const struct wl_node *n = w->nodes->pdata[i];
+		bool known = false;
+
+		for (guint k = 0; k < out->len && !known; k++)
+			known = g_strcmp0(out->pdata[k], n->rack) == 0;
+		if (!known && n->rack != NULL && n->life != NULL)
+			g_ptr_array_add(out, n->rack);
+	}
+	return out;
+}
+
+/* The rack where a rack-local unit already runs, or NULL. */
+static const char *rack_in_use(const struct wl_unit *u)
+{
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		if (u->tasks[i].node != NULL)
+			return u->tasks[i].node->rack;
+	}
+	return NULL;
+}
+
+/* Accelerators, then cores, that a plan leaves free on the workers that it uses. */
+static int64_t leftover(const GArray *plan, guint from, enum plan_room which)
+{
+	int64_t sum = 0;
+
+	for (guint i = from; i < plan->len; i++) {
+		struct wl_node *n = g_array_index(plan, struct plan, i).node;
+
+		sum += room_of(n, which)->accelerators * 1000 + room_of(n, which)->cores_m / 1000;
+	}
+	return sum;
+}
+
+/* Place a rack-local unit whole in one rack, the one that it fits most tightly. */
+static uint32_t place_in_rack(struct wl *w, struct wl_unit *u, int64_t now,
+	enum plan_room which, GArray *out)
+{
+	g_autoptr(GPtrArray) racks = racks_of(w);
+	const char *only = rack_in_use(u);
+	const char *best = NULL;
+	int64_t least = INT64_MAX;
+	guint from = out->len;
+
+	for (guint i = 0; i < racks->len; i++) {
+		const char *rack = racks->pdata[i];
+		uint32_t placed;
+		int64_t cost;
+
+		if (only != NULL && strcmp(only, rack) != 0)
+			continue;
+		placed = place_tasks(w, u, now, which, rack, out);
+		cost = leftover(out, from, which);
+		if (u->step->data_rack != NULL && strcmp(u->step->data_rack, rack) != 0)
+			cost += INT32_MAX;
+		undo(out, from, which);
+		if (placed == u->waiting && cost < least) {
+			least = cost;
+			best = rack;
+		}
+	}
+	return best != NULL ? place_tasks(w, u, now, which, best, out) : 0;
+}
+
+/*
+ * Plan places for the waiting tasks of a unit and take their room: of a gang for all or none.
+ * anywhere lets a rack-local unit spread over racks. Returns how many were placed.
+ */
+uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room which,
+	bool anywhere, GArray *out)
+{
+	guint from = out->len;
+	uint32_t placed;
+
+	if (u->step->rack_local && !anywhere)
+		return place_in_rack(w, u, now, which, out);
+	placed = place_tasks(w, u, now, which, NULL, out);
+	if (u->step->gang && placed < u->waiting) {
+		undo(out, from, which);
+		return 0;
+	}
+	return placed;
+}
+
+/* Whether some rack could hold a rack-local unit if it were empty. */
+bool rack_feasible(const struct wl *w, const struct wl_unit *u, int64_t now)
+{
+	g_autoptr(GPtrArray) racks = racks_of(w);
+	struct wl_need need = task_need(u->step);
+
+	for (guint i = 0; i < racks->len; i++) {
+		uint64_t fit = 0;
+
+		for (guint k = 0; k < w->nodes->len; k++) {
+			const struct wl_node *n = w->nodes->pdata[k];
+			uint64_t here = u->step->count;
+
+			if (!node_suits(n, u, now) || g_strcmp0(n->rack, racks->pdata[i]) != 0)
+				continue;
+			if (need.cores_m > 0)
+				here = MIN(here, n->capacity.cores_m / need.cores_m);
+			if (need.memory_mb > 0)
+				here = MIN(here, n->capacity.memory_mb / need.memory_mb);
+			if (need.accelerators > 0)
+				here = MIN(here, n->capacity.accelerators / need.accelerators);
+			if (u->step->per_worker_max > 0)
+				here = MIN(here, u->step->per_worker_max);
+			fit += here;
+		}
+		if (fit >= u->step->count)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/packages/workload/wl-private.h
@@ -0,0 +1,208 @@
+#ifndef DP_WL_PRIVATE_H
+#define DP_WL_PRIVATE_H
+
+#include "workload.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What a task takes of a worker. */
+struct wl_need {
+	uint32_t cores_m;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+};
+/* Room may be negative where a worker has shrunk. */
+struct wl_room {
+	int64_t cores_m;
+	int64_t memory_mb;
+	int64_t accelerators;
+};
+
+enum wl_phase {
+	TASK_WAITING,
+	TASK_STARTING,
+	TASK_RUNNING,
+	TASK_STOPPING,
+	TASK_DONE
+};
+
+struct wl_unit;
+struct wl_node;
+
+struct wl_task {
+	struct wl_unit *unit;
+	uint32_t index;
+	enum wl_phase phase;
+	/* The number of the last attempt; 0 before the first. */
+	uint32_t attempt;
+	uint32_t failures;
+	uint32_t failed_attempt;
+	char checkpoint[WL_CHECKPOINT_MAX + 1];
+	/* Where the run is, also while it is being stopped; done tasks may still hold room. */
+	struct wl_node *node;
+	int64_t placed_at;
+	int64_t running_at;
+	int64_t stop_sent;
+	int64_t waiting_since;
+	uint64_t ordinal;
+	uint64_t seen;
+	uint32_t percent;
+	uint32_t pace;
+	uint32_t figure;
+	/* The worker that failed or refused it last is taken only when no other fits. */
+	const struct wl_node *avoid;
+	TAILQ_ENTRY(wl_task) on_node;
+};
+
+/* One step of one occurrence. */
+struct wl_unit {
+	struct wl_job *job;
+	const struct wl_step *step;
+	uint32_t occurrence;
+	uint32_t step_index;
+	struct wl_task *tasks;
+	uint32_t done;
+	uint32_t waiting;
+	/* Of a gang: its attempt, its failures and the checkpoint that all members share. */
+	uint32_t attempt;
+	uint32_t failures;
+	uint32_t failed_attempt;
+	int64_t ready_at;
+	int64_t retry_at;
+	bool is_done;
+};
+
+struct wl_job {
+	struct wl *wl;
+	struct wl_spec spec;
+	uint32_t state;
+	bool inherited;
+	bool counted;
+	int64_t added_at;
+	int64_t ended_ms;
+	/* Occurrences that are open; units are occurrence-major. */
+	struct wl_unit **occurrences;
+	uint32_t occurrences_len;
+	uint32_t occurrences_done;
+	uint64_t version;
+	uint64_t stored;
+	/* Terms of the queue, as the newest configuration that has it says. */
+	uint32_t priority;
+	uint32_t attempts_max;
+	double stretch;
+	int64_t target;
+	const char *service;
+	bool approval;
+	TAILQ_ENTRY(wl_job) entry;
+};
+
+/* A run that is listed by a worker and is not the current run of a task. */
+struct wl_ghost {
+	char *task;
+	uint32_t attempt;
+	struct wl_need need;
+	int64_t stop_sent;
+};
+
+/* An end whose effect is stored once the job's version is. */
+struct wl_end_note {
+	uint64_t number;
+	struct wl_job *job;
+	uint64_t version;
+};
+
+struct wl_node {
+	struct wl *wl;
+	char *name;
+	char *life;
+	char *service;
+	char *rack;
+	GPtrArray *labels;
+	struct wl_need capacity;
+	bool expected; /* may hold tasks of an earlier coordinator; has not reported */
+	bool linked;
+	bool draining;
+	bool left;
+	int64_t drain_until;
+	int64_t silent_at;
+	int64_t blocked_until;
+	double strikes;
+	int64_t strikes_at;
+	uint64_t serial;
+	uint64_t ends_seen;
+	uint64_t ends_stored;
+	uint64_t ends_told;
+	GArray *end_notes;
+	GPtrArray *ghosts;
+	struct wl_room free; /* recomputed by each pass */
+	struct wl_room soon; /* free, and what is being stopped */
+	TAILQ_HEAD(, wl_task) tasks;
+};
+
+struct wl {
+	uint64_t term;
+	struct wl_limits limits;
+	struct wl_out out;
+	const struct wl_config *config;
+	GHashTable *jobs;
+	TAILQ_HEAD(, wl_job) list;
+	GPtrArray *nodes;
+	uint64_t ordinal;
+};
+
+/* wl-job.c */
+struct wl_job *wl_find_job(const struct wl *w, const char *id);
+struct wl_task *job_task(struct wl *w, const char *name, int64_t now);
+char *task_name(const struct wl_task *t);
+struct wl_need task_need(const struct wl_step *s);
+void job_refresh(struct wl_job *j);
+void job_open_due(struct wl_job *j, int64_t now, int64_t wall);
+void job_dirty(struct wl_job *j);
+void job_finish(struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why);
+int64_t job_next_due(const struct wl_job *j);
+bool unit_turn(const struct wl_unit *u);
+
+/* wl-run.c: the life of a run. */
+void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt);
+void task_detach(struct wl_task *t, int64_t now);
+void task_stop(struct wl_task *t, int64_t now, const char *why, const char *for_whom);
+void task_run(struct wl_task *t, int64_t now);
+void wl_run_ended(struct wl *w, struct wl_node *n, int64_t now, int64_t wall,
+	const struct wl_ended *e);
+void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *for_whom);
+void job_stop_runs(struct wl_job *j, int64_t now, const char *why);
+uint32_t next_attempt(const struct wl *w, uint32_t last);
+
+/* wl-node.c */
+struct wl_node *node_find(const struct wl *w, const char *name);
+void node_lose_tasks(struct wl_node *n, int64_t now, const char *why);
+bool node_usable(const struct wl_node *n, int64_t now);
+bool nodes_unsure(const struct wl *w);
+double node_strikes(const struct wl_node *n, int64_t now);
+void node_strike(struct wl_node *n, int64_t now);
+void node_clear_strikes(struct wl_node *n);
+
+/* wl-place.c */
+bool room_fits(const struct wl_room *r, const struct wl_need *n);
+void room_take(struct wl_room *r, const struct wl_need *n);
+void room_give(struct wl_room *r, const struct wl_need *n);
+bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now);
+/* Which room a plan counts on. */
+enum plan_room {
+	PLAN_FREE,
+	PLAN_SOON
+};
+struct plan {
+	struct wl_task *task;
+	struct wl_node *node;
+};
+uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room,
+	bool anywhere, GArray *out);
+bool rack_feasible(const struct wl *w, const struct wl_unit *u, int64_t now);
+
+/* wl-reclaim.c */
+bool reclaim_for(struct wl *w, struct wl_unit *u, int64_t now, GArray *plan);
+bool unit_entitled(const struct wl *w, const struct wl_unit *u);
+
+#endif
