workload, agent: nodes that left are forgotten, leaving workers emptied, stalled runs moved

Change: an agent pings when its worker is silent; a left worker's entry is removed; runs that cannot end before their worker leaves, or stand still for 3 s, start elsewhere; urgent jobs may stop others for at most as much work as they are.

--- a/packages/base/histogram.c
+++ b/packages/base/histogram.c
@@ -6,8 +6,8 @@
  * Latency histograms with fixed log-linear bounds, so that quantiles can be read to within a
  * third and histograms of several processes can be added.
  */
-static const double bounds[HISTOGRAM_BOUNDS] = {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-	0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
+static const double bounds[HISTOGRAM_BOUNDS] = {
+	0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
 
 static SLIST_HEAD(, histogram) histograms = SLIST_HEAD_INITIALIZER(histograms);
 
@@ -34,11 +34,12 @@
 {
 	const struct histogram *h;
 
-	SLIST_FOREACH(h, &histograms, entry) {
+	SLIST_FOREACH(h, &histograms, entry)
+	{
 		uint64_t total = 0;
 
-		g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n", h->name,
-			h->help, h->name);
+		g_string_append_printf(
+			out, "# HELP %s %s\n# TYPE %s histogram\n", h->name, h->help, h->name);
 		for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++) {
 			total += __atomic_load_n(&h->counts[i], __ATOMIC_RELAXED);
 			g_string_append_printf(out, "%s_bucket{le=\"%g\"} %" PRIu64 "\n",
--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -10,15 +10,18 @@
  */
 
 COUNTER(takeovers_total, "damaskpath_takeovers_total", "Terms taken by this process.");
-COUNTER(links_lost_total, "damaskpath_links_lost_total", "Coordinators that went out of reach.");
+COUNTER(links_lost_total, "damaskpath_links_lost_total",
+	"Coordinators that went out of reach.");
 
 #define TICK (100 * NSEC_PER_MSEC)
 /* A coordinator that has not answered a report for so long is looked up again. */
 #define LINK_SILENCE (2500 * NSEC_PER_MSEC)
 /* One whose term the store has not confirmed for so long may have been replaced. */
-#define TERM_OLD (2000 * NSEC_PER_MSEC)
+#define TERM_OLD   (2000 * NSEC_PER_MSEC)
 #define ASK_PERIOD (400 * NSEC_PER_MSEC)
-#define DIAL_LIMIT (1000 * NSEC_PER_MSEC)
+/* Without a report for so long the coordinator is asked whether it is alive. */
+#define PING_PERIOD (700 * NSEC_PER_MSEC)
+#define DIAL_LIMIT  (1000 * NSEC_PER_MSEC)
 /* Agents that find no coordinator do not all try to become it in one moment. */
 #define CAMPAIGN_SPREAD (150 * NSEC_PER_MSEC)
 /* The lease of the coordinator's key: what an outage of it costs before another takes over. */
@@ -45,6 +48,7 @@
 	uint64_t term;
 	int64_t dialled_at;
 	int64_t heard;
+	int64_t sent;
 	int64_t term_age;
 	/* Calls to the store. */
 	bool asking;
@@ -67,6 +71,8 @@
 
 	if (a->state != LINK_OPEN)
 		return;
+	if (m->kind == WL_MSG_REPORT || m->kind == WL_MSG_PING)
+		a->sent = now_of(a);
 	body = wl_msg_encode(m);
 	peer_send(a->net, a->peer, body.data, body.len);
 	bytes_clear(&body);
@@ -240,8 +246,8 @@
 	}
 	a->asking = true;
 	a->asked = now_of(a);
-	kv_lease_grant(a->p->kv,
-		MAX((int64_t)LEASE_MS, a->p->settings.min_ttl / NSEC_PER_MSEC), granted, a);
+	kv_lease_grant(a->p->kv, MAX((int64_t)LEASE_MS, a->p->settings.min_ttl / NSEC_PER_MSEC),
+		granted, a);
 }
 
 /* The store says who coordinates. */
@@ -289,6 +295,12 @@
 		link_drop(a, "it does not answer");
 	if (a->state == LINK_OPEN && now - a->heard > LINK_SILENCE)
 		link_drop(a, "it is silent");
+	if (a->state == LINK_OPEN && now - a->sent > PING_PERIOD) {
+		const struct wl_msg m = {.kind = WL_MSG_PING,
+			.ping = {.term = a->term, .sent_ns = (uint64_t)now}};
+
+		send_lead(a, &m);
+	}
 	if (a->stopping)
 		return;
 	if (a->campaign_at != 0 && now >= a->campaign_at && a->state == LINK_NONE) {
@@ -296,9 +308,8 @@
 		campaign(a);
 		return;
 	}
-	if (a->state == LINK_NONE ||
-		(a->state == LINK_OPEN && a->coord == NULL &&
-			a->term_age + (now - a->heard) > TERM_OLD))
+	if (a->state == LINK_NONE || (a->state == LINK_OPEN && a->coord == NULL &&
+					     a->term_age + (now - a->heard) > TERM_OLD))
 		ask_lead(a);
 }
 
@@ -362,11 +373,19 @@
 	case WL_MSG_HELLO:
 	case WL_MSG_REPORT:
 	case WL_MSG_ANSWER:
+	case WL_MSG_PING:
 	case WL_MSG_END:
 		break;
 	}
 }
 
+/* Whether a kind of message goes from agents to the coordinator. */
+static bool for_coordinator(enum wl_msg_kind k)
+{
+	return k == WL_MSG_HELLO || k == WL_MSG_REPORT || k == WL_MSG_ANSWER ||
+	       k == WL_MSG_PING;
+}
+
 /* A message, for one of our two parts. */
 static void on_message(void *arg, peer_id peer, const uint8_t *body, size_t len)
 {
@@ -378,8 +397,7 @@
 		event_log(EV_BAD_INPUT, "from=peer what=\"%s\"", err->message);
 		return;
 	}
-	if (peer == a->peer && m.kind != WL_MSG_HELLO && m.kind != WL_MSG_REPORT &&
-		m.kind != WL_MSG_ANSWER)
+	if (peer == a->peer && !for_coordinator(m.kind))
 		on_order(a, &m);
 	else if (a->coord != NULL)
 		wl_coord_message(a->coord, a->net, peer, &m);
@@ -405,10 +423,8 @@
 struct wl_agent *wl_agent_new(struct wl_process *p, GError **err)
 {
 	struct wl_agent *a = xcalloc(1, sizeof(*a));
-	const struct peer_events events = {.opened = on_opened,
-		.message = on_message,
-		.closed = on_closed,
-		.arg = a};
+	const struct peer_events events = {
+		.opened = on_opened, .message = on_message, .closed = on_closed, .arg = a};
 	const struct wl_worker_events worker = {
 		.report = on_report, .answer = on_answer, .fenced = on_fenced, .arg = a};
 	g_autofree char *listen = NULL;
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -180,7 +180,8 @@
 }
 
 /* What a transaction in flight did for one record. */
-static void settle_record(struct record_writer *r, struct record *rec, const struct kv_result *res)
+static void settle_record(
+	struct record_writer *r, struct record *rec, const struct kv_result *res)
 {
 	rec->in_flight = false;
 	if (res->status != KV_OK) {
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -13,18 +13,18 @@
 COUNTER(passes_total, "damaskpath_passes_total", "Passes of the scheduler.");
 HISTOGRAM(pass_seconds, "damaskpath_pass_seconds", "Time of one pass of the scheduler.");
 
-#define CONFIG_PERIOD  NSEC_PER_SEC
-#define KEEP_PERIOD    (700 * NSEC_PER_MSEC)
-#define SWEEP_PERIOD   (500 * NSEC_PER_MSEC)
+#define CONFIG_PERIOD NSEC_PER_SEC
+#define KEEP_PERIOD   (700 * NSEC_PER_MSEC)
+#define SWEEP_PERIOD  (500 * NSEC_PER_MSEC)
 /* A watch that is silent for longer may be dead; a new one is cheap. */
-#define WATCH_WAIT_MS  1500
-#define WATCH_PAUSE    (200 * NSEC_PER_MSEC)
+#define WATCH_WAIT_MS 1500
+#define WATCH_PAUSE   (200 * NSEC_PER_MSEC)
 /* An agent reports about once a second; after this it is taken to be out of reach. */
-#define AGENT_SILENCE  (3500 * NSEC_PER_MSEC)
+#define AGENT_SILENCE (3500 * NSEC_PER_MSEC)
 /* No starts are ordered on a term that the store has not confirmed for so long. */
-#define START_AGE_MAX  (4 * NSEC_PER_SEC)
+#define START_AGE_MAX (4 * NSEC_PER_SEC)
 /* A lease of a run on a worker whose clock is slow, and what a message may take. */
-#define LEASE_SLACK    (400 * NSEC_PER_MSEC)
+#define LEASE_SLACK (400 * NSEC_PER_MSEC)
 /* Room for callers that ask for a job's state late. */
 #define RETENTION_EXTRA (30 * NSEC_PER_SEC)
 
@@ -266,7 +266,8 @@
 }
 
 /* An agent introduces itself. */
-static void on_hello(struct wl_coord *c, struct peer_net *net, peer_id peer, const struct wl_hello *h)
+static void on_hello(
+	struct wl_coord *c, struct peer_net *net, peer_id peer, const struct wl_hello *h)
 {
 	struct member *m;
 
@@ -287,7 +288,8 @@
 }
 
 /* A message of an agent. */
-void wl_coord_message(struct wl_coord *c, struct peer_net *net, peer_id peer, struct wl_msg *msg)
+void wl_coord_message(
+	struct wl_coord *c, struct peer_net *net, peer_id peer, struct wl_msg *msg)
 {
 	struct member *m = NULL;
 
@@ -302,7 +304,9 @@
 	if (m == NULL)
 		return;
 	m->heard = loop_now(c->p->loop);
-	if (msg->kind == WL_MSG_REPORT && msg->report.term == c->term) {
+	if (msg->kind == WL_MSG_PING) {
+		send_beat(c, m, msg->ping.sent_ns);
+	} else if (msg->kind == WL_MSG_REPORT && msg->report.term == c->term) {
 		on_report(c, m, msg);
 	} else if (msg->kind == WL_MSG_ANSWER && msg->answer.term == c->term) {
 		wl_node_answer(c->wl, m->heard, &msg->answer);
@@ -409,19 +413,20 @@
 	}
 	state = g_hash_table_lookup(c->states, id);
 	if (state != NULL)
-		has_state = fields_decode(
-			&wl_progress_fields, &p, state->data, state->len, NULL);
+		has_state =
+			fields_decode(&wl_progress_fields, &p, state->data, state->len, NULL);
 	record_writer_known(c->records, id, it->revision);
 	for (uint32_t s = 0; s < spec.steps_len; s++)
 		tasks += spec.steps[s].count;
 	event_log(EV_JOB_SEEN,
-		"job=%s queue=%s org=%s tasks=%" PRIu64 " accelerators=%u gang=%d repetitions=%u "
+		"job=%s queue=%s org=%s tasks=%" PRIu64
+		" accelerators=%u gang=%d repetitions=%u "
 		"state=%s revision=%" PRId64,
 		id, spec.queue, spec.org ? spec.org : "-", tasks, spec.steps[0].accelerators,
 		spec.steps[0].gang, spec.repetitions,
 		has_state ? wl_state_name(p.state) : "new", it->revision);
-	wl_job_add(c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec,
-		has_state ? &p : NULL, it->revision < c->term_revision);
+	wl_job_add(c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec, has_state ? &p : NULL,
+		it->revision < c->term_revision);
 	c->jobs++;
 	g_hash_table_remove(c->states, id);
 	fields_clear(&wl_spec_fields, &spec);
@@ -434,8 +439,8 @@
 static void take_cancel(struct wl_coord *c, const char *id)
 {
 	if (wl_job_has(c->wl, id))
-		wl_job_cancel(c->wl, loop_now(c->p->loop),
-			clock_wall(loop_clock(c->p->loop)), id);
+		wl_job_cancel(
+			c->wl, loop_now(c->p->loop), clock_wall(loop_clock(c->p->loop)), id);
 	else
 		g_hash_table_add(c->cancels, g_strdup(id));
 }
@@ -492,8 +497,8 @@
 		break;
 	}
 	if (c->watch_timer == NULL)
-		c->watch_timer = loop_timer_add(
-			c->p->loop, r->status == KV_UNSURE ? 0 : WATCH_PAUSE, 0, on_watch_timer, c);
+		c->watch_timer = loop_timer_add(c->p->loop,
+			r->status == KV_UNSURE ? 0 : WATCH_PAUSE, 0, on_watch_timer, c);
 }
 
 /* Wait for changes of the inbox. */
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -14,7 +14,7 @@
 /* A configuration that was proved so long before a call's arrival still counts. */
 #define CONFIG_SLACK (300 * NSEC_PER_MSEC)
 /* A submission is written again so often while the store does not answer. */
-#define TRIES_MAX 6
+#define TRIES_MAX     6
 #define RETRY_AFTER_S 1
 /* The depth of the queues is counted again after this. */
 #define DEPTH_MAX_AGE (700 * NSEC_PER_MSEC)
@@ -139,7 +139,8 @@
 /* Store a job, on the condition that it is new and that the configuration still stands. */
 static void submit(struct entry_call *c)
 {
-	struct wl_progress progress = {.state = WL_QUEUED, .queue = (char *)c->queue, .org = c->org};
+	struct wl_progress progress = {
+		.state = WL_QUEUED, .queue = (char *)c->queue, .org = c->org};
 	const struct wl_config *config = config_feed_get(c->entry->feed);
 	struct bytes spec = fields_encode(&wl_spec_fields, &c->spec);
 	struct bytes state = fields_encode(&wl_progress_fields, &progress);
@@ -181,14 +182,15 @@
 }
 
 /* Decode stored progress that the caller may see. */
-static bool visible(const struct entry_call *c, const struct kv_result *r, struct wl_progress *p)
+static bool visible(
+	const struct entry_call *c, const struct kv_result *r, struct wl_progress *p)
 {
 	g_autoptr(GError) err = NULL;
 
 	if (r->status != KV_OK || r->items_len == 0)
 		return false;
-	if (!fields_decode(&wl_progress_fields, p, r->items[0].value.data, r->items[0].value.len,
-		    &err)) {
+	if (!fields_decode(&wl_progress_fields, p, r->items[0].value.data,
+		    r->items[0].value.len, &err)) {
 		event_log(EV_BAD_INPUT, "from=store what=\"%s: %s\"", r->items[0].key,
 			err->message);
 		return false;
@@ -312,7 +314,8 @@
 		struct wl_progress p = {0};
 		gsize n;
 
-		if (!fields_decode(&wl_progress_fields, &p, it->value.data, it->value.len, NULL))
+		if (!fields_decode(
+			    &wl_progress_fields, &p, it->value.data, it->value.len, NULL))
 			continue;
 		if (p.state == WL_QUEUED && p.queue != NULL) {
 			n = GPOINTER_TO_SIZE(g_hash_table_lookup(e->depth_next, p.queue));
@@ -370,7 +373,8 @@
 }
 
 /* Whose call it is; false where it was answered. */
-static bool identify(struct entry_call *c, const struct wl_config *config, const struct wl_queue *q)
+static bool identify(
+	struct entry_call *c, const struct wl_config *config, const struct wl_queue *q)
 {
 	const struct wl_org *org = wl_config_key(config, c->key);
 
--- a/packages/daemon/wl-entry.c
+++ b/packages/daemon/wl-entry.c
@@ -43,8 +43,8 @@
 	c->path = xstrdup(http_path(r));
 	c->key = pf_key_of(http_header(r, "Authorization"));
 	c->arrived = clock_now(loop_clock(e->p->loop));
-	c->deadline = c->arrived + (given > CALL_MARGIN ? MIN(given - CALL_MARGIN, CALL_LIMIT)
-							: CALL_LIMIT);
+	c->deadline = c->arrived +
+		      (given > CALL_MARGIN ? MIN(given - CALL_MARGIN, CALL_LIMIT) : CALL_LIMIT);
 	loop_post(e->p->loop, call_begin, c);
 }
 
@@ -104,7 +104,8 @@
 	e->feed = config_feed_new(p, CONFIG_PERIOD, on_config, e);
 	e->callers = http_server_new(p->settings.callers_addr, &limits, on_request, e, err);
 	if (e->callers != NULL)
-		e->ready_server = http_server_new(p->settings.ready_addr, &few, on_ready, e, err);
+		e->ready_server =
+			http_server_new(p->settings.ready_addr, &few, on_ready, e, err);
 	if (e->ready_server == NULL) {
 		wl_entry_free(e);
 		return NULL;
--- a/packages/daemon/wl-process.c
+++ b/packages/daemon/wl-process.c
@@ -10,7 +10,7 @@
 
 #include "daemon.h"
 
-#define STOP_PERIOD  (50 * NSEC_PER_MSEC)
+#define STOP_PERIOD (50 * NSEC_PER_MSEC)
 /* Kept of the time that the platform grants for a stop. */
 #define STOP_MARGIN  (700 * NSEC_PER_MSEC)
 #define FLUSH_PERIOD (250 * NSEC_PER_MSEC)
@@ -91,8 +91,7 @@
 		return;
 	event_log(EV_STOP, "why=signal number=%u", info.ssi_signo);
 	p->stopping = true;
-	p->stop_at =
-		loop_now(p->process.loop) + p->process.settings.stop_grace - STOP_MARGIN;
+	p->stop_at = loop_now(p->process.loop) + p->process.settings.stop_grace - STOP_MARGIN;
 	if (p->entry != NULL)
 		wl_entry_stop(p->entry);
 	if (p->agent != NULL)
@@ -117,10 +116,8 @@
 /* Serve metrics where the settings ask for it. */
 static bool open_metrics(struct wl_program *p, int64_t port, GError **err)
 {
-	const struct http_limits limits = {.body_max = 1024,
-		.connections_max = 16,
-		.idle_timeout_s = 30,
-		.threads = 1};
+	const struct http_limits limits = {
+		.body_max = 1024, .connections_max = 16, .idle_timeout_s = 30, .threads = 1};
 	g_autofree char *addr = NULL;
 
 	if (port == 0)
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -309,7 +309,8 @@
 		.deadline_ms = lease_deadline(w),
 		.wait_ms = HOLD_WAIT_MS};
 
-	if (w->holding || w->hold_timer != NULL || w->term == 0 || w->beat.id == NULL || w->left)
+	if (w->holding || w->hold_timer != NULL || w->term == 0 || w->beat.id == NULL ||
+		w->left)
 		return;
 	if (now_of(w) - w->beat_at > BEAT_SILENCE) {
 		hold_later(w, HOLD_PAUSE);
@@ -323,7 +324,8 @@
 	w->holding = true;
 	w->hold_covers = covers(w);
 	w->hold_sent = now_of(w);
-	send_call(w, pf_worker_hold(w->p->settings.worker_addr, w->beat.id, &h), NULL, hold_done);
+	send_call(
+		w, pf_worker_hold(w->p->settings.worker_addr, w->beat.id, &h), NULL, hold_done);
 }
 
 /* What an answer to a start means to the coordinator. */
@@ -426,8 +428,8 @@
 		return;
 	counter_add(&stops_total, 1);
 	send_call(w,
-		pf_worker_stop(w->p->settings.worker_addr, w->beat.id, w->term, o->task,
-			o->attempt),
+		pf_worker_stop(
+			w->p->settings.worker_addr, w->beat.id, w->term, o->task, o->attempt),
 		NULL, order_done);
 }
 
--- /dev/null
+++ b/packages/workload/wl-health.c
@@ -0,0 +1,94 @@
+#include "wl-private.h"
+
+#include <inttypes.h>
+
+/* A run whose progress has not moved for so long stands still. */
+#define STALL_AFTER (3 * NSEC_PER_SEC)
+/* What a run that stands still counts against its worker, in failed runs. */
+#define STALL_STRIKES 3
+/* A run that will not end this long before its worker leaves is moved. */
+#define LEAVE_MARGIN (200 * NSEC_PER_MSEC)
+/* Progress that was seen for less time says nothing of the rest. */
+#define PROGRESS_MIN (300 * NSEC_PER_MSEC)
+
+/* How long a run still takes, by its progress, or by its estimate before there is any. */
+int64_t task_remaining(const struct wl_task *t, int64_t now)
+{
+	int64_t estimate = step_estimate(t->unit->step);
+	int64_t ran = t->running_at > 0 ? now - t->running_at : 0;
+
+	if (t->percent == 0 || ran < PROGRESS_MIN)
+		return MAX(estimate - ran, 0);
+	return ran * (100 - MIN(t->percent, 100u)) / t->percent;
+}
+
+/* Note a run's progress. */
+void task_progress(struct wl_task *t, int64_t now, uint32_t percent)
+{
+	if (percent != t->percent || t->progress_at == 0)
+		t->progress_at = now;
+	t->percent = percent;
+}
+
+/* Move the runs of a leaving worker that will not end in time; what they saved goes along. */
+static void evacuate(struct wl_node *n, int64_t now)
+{
+	struct wl_task *t;
+
+	TAILQ_FOREACH(t, &n->tasks, on_node) {
+		if (t->phase != TASK_RUNNING)
+			continue;
+		if (!t->unit->step->long_running &&
+			task_remaining(t, now) <= n->drain_until - now - LEAVE_MARGIN)
+			continue;
+		if (t->unit->step->gang)
+			unit_stop(t->unit, now, "a member's worker is leaving", NULL);
+		else
+			task_stop(t, now, "its worker is leaving", NULL);
+	}
+}
+
+/* Whether a run stands still: a gang's progress counts from when all its members run. */
+static bool is_stalled(const struct wl_task *t, int64_t now)
+{
+	int64_t since = MAX(t->progress_at, t->running_at);
+
+	if (t->phase != TASK_RUNNING || t->unit->step->long_running || t->percent >= 100 ||
+		t->pace < 100 || t->unit->step->filler)
+		return false;
+	return since > 0 && now - since > STALL_AFTER;
+}
+
+/* Start runs that stand still elsewhere. */
+static void end_stalled(struct wl_node *n, int64_t now)
+{
+	struct wl_task *t;
+
+	TAILQ_FOREACH(t, &n->tasks, on_node) {
+		if (!is_stalled(t, now))
+			continue;
+		if (t->unit->step->gang) {
+			/* Which member holds the gang up is not known. */
+			unit_stop(t->unit, now, "the gang stands still", NULL);
+			continue;
+		}
+		for (int i = 0; i < STALL_STRIKES; i++)
+			node_strike(n, now);
+		t->avoid = n;
+		task_stop(t, now, "it stands still", NULL);
+	}
+}
+
+/* Look after runs on workers that leave or do not work. */
+void health_check(struct wl *w, int64_t now)
+{
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct wl_node *n = w->nodes->pdata[i];
+
+		if (!n->linked || n->life == NULL)
+			continue;
+		if (n->draining && !n->left)
+			evacuate(n, now);
+		end_stalled(n, now);
+	}
+}
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -207,7 +207,8 @@
 }
 
 /* End a job: stop what runs, and have the end stored. */
-void job_finish(struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why)
+void job_finish(
+	struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why)
 {
 	if (wl_state_ended(j->state))
 		return;
@@ -358,7 +359,8 @@
 	int used = 0;
 	struct wl_job *j;
 
-	if (name == NULL || sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &k, &s, &i, &used) != 4 ||
+	if (name == NULL ||
+		sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &k, &s, &i, &used) != 4 ||
 		name[used] != '\0')
 		return NULL;
 	j = wl_find_job(w, id);
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The field tables of the structs that are stored or sent; fields may only be added at the end. */
+/* The field tables of the structs that are stored or sent; fields may only be added at the end.
+ */
 #define FIELD(k, s, f)                                                                         \
 	{                                                                                      \
 		.kind = (k), .offset = offsetof(struct s, f)                                   \
@@ -190,6 +191,12 @@
 };
 static const struct field_table wl_stored_fields = TABLE(wl_stored);
 
+static const struct field wl_ping_list[] = {
+	U64(wl_ping, term),
+	U64(wl_ping, sent_ns),
+};
+static const struct field_table wl_ping_fields = TABLE(wl_ping);
+
 static const struct field_table *const tables[WL_MSG_END] = {
 	[WL_MSG_HELLO] = &wl_hello_fields,
 	[WL_MSG_LEAD_BEAT] = &wl_lead_beat_fields,
@@ -199,6 +206,7 @@
 	[WL_MSG_STOP] = &wl_stop_order_fields,
 	[WL_MSG_PACE] = &wl_pace_order_fields,
 	[WL_MSG_STORED] = &wl_stored_fields,
+	[WL_MSG_PING] = &wl_ping_fields,
 };
 
 /* Encode a message: its kind as one byte, then its fields. */
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -6,9 +6,9 @@
 /* A strike against a worker halves its weight after this time without another. */
 #define STRIKE_HALF_LIFE (8 * NSEC_PER_SEC)
 /* A worker that refused a start gets no other for a while. */
-#define REFUSED_PAUSE	 (500 * NSEC_PER_MSEC)
-#define UNHEALTHY_PAUSE	 (1500 * NSEC_PER_MSEC)
-#define STRIKES_SUSPECT	 2.0
+#define REFUSED_PAUSE	(500 * NSEC_PER_MSEC)
+#define UNHEALTHY_PAUSE (1500 * NSEC_PER_MSEC)
+#define STRIKES_SUSPECT 2.0
 /* An orphaned run is told to stop again after this. */
 #define GHOST_STOP_AGAIN NSEC_PER_SEC
 
@@ -99,8 +99,7 @@
 {
 	if (n->strikes <= 0)
 		return 0;
-	return n->strikes *
-	       pow(0.5, (double)(now - n->strikes_at) / (double)STRIKE_HALF_LIFE);
+	return n->strikes * pow(0.5, (double)(now - n->strikes_at) / (double)STRIKE_HALF_LIFE);
 }
 
 /* A run failed on the worker, or it refused one. */
@@ -216,10 +215,8 @@
 	if (g->stop_sent != 0 && now - g->stop_sent < GHOST_STOP_AGAIN)
 		return;
 	g->stop_sent = now;
-	o = (struct wl_stop_order){.term = n->wl->term,
-		.life = n->life,
-		.task = g->task,
-		.attempt = g->attempt};
+	o = (struct wl_stop_order){
+		.term = n->wl->term, .life = n->life, .task = g->task, .attempt = g->attempt};
 	event_log(EV_TASK_STOP, "task=%s attempt=%u node=%s why=\"not the current run\" for=-",
 		g->task, g->attempt, n->name);
 	n->wl->out.stop(n->wl->out.arg, n->name, &o);
@@ -249,7 +246,7 @@
 		}
 		task_run(t, now);
 		t->seen = n->serial;
-		t->percent = run->percent;
+		task_progress(t, now, run->percent);
 		t->figure = run->figure;
 		if (run->checkpoint != NULL && *run->checkpoint != '\0' &&
 			t->unit->step->checkpoints)
@@ -271,7 +268,8 @@
 		if (t->seen != n->serial && t->ordinal <= r->covers) {
 			struct wl_unit *u = t->unit;
 
-			event_log(EV_TASK_END, "task=%s.%u.%u.%u attempt=%u node=%s how=missing",
+			event_log(EV_TASK_END,
+				"task=%s.%u.%u.%u attempt=%u node=%s how=missing",
 				u->job->spec.id, u->occurrence, u->step_index, t->index,
 				t->attempt, n->name);
 			task_detach(t, now);
@@ -308,7 +306,8 @@
 		node_lose_tasks(n, now, "the worker has left");
 	if (!was_up)
 		event_log(EV_WORKER_UP,
-			"node=%s life=%s rack=%s cores_m=%u memory_mb=%u accelerators=%u runs=%u",
+			"node=%s life=%s rack=%s cores_m=%u memory_mb=%u accelerators=%u "
+			"runs=%u",
 			n->name, n->life, n->rack ? n->rack : "-", n->capacity.cores_m,
 			n->capacity.memory_mb, n->capacity.accelerators, r->runs_len);
 }
@@ -334,6 +333,12 @@
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct wl_node *n = w->nodes->pdata[i];
 
+		if (n->left && n->life != NULL) {
+			g_ptr_array_add(out, g_strdup(n->name));
+			free(n->life);
+			n->life = NULL;
+			continue;
+		}
 		if (n->linked || now - n->silent_at <= w->limits.silence_max)
 			continue;
 		if (n->expected || TAILQ_FIRST(&n->tasks) != NULL || n->ghosts->len > 0)
@@ -354,12 +359,12 @@
 	struct wl_node *n;
 
 	if (t == NULL || t->node == NULL || t->attempt != a->attempt ||
-		t->ordinal != a->ordinal || a->life == NULL ||
-		t->node->life == NULL || strcmp(t->node->life, a->life) != 0)
+		t->ordinal != a->ordinal || a->life == NULL || t->node->life == NULL ||
+		strcmp(t->node->life, a->life) != 0)
 		return;
 	n = t->node;
-	event_log(EV_TASK_RUN, "task=%s attempt=%u node=%s answer=%s", a->task, a->attempt, n->name,
-		wl_answer_name(a->answer));
+	event_log(EV_TASK_RUN, "task=%s attempt=%u node=%s answer=%s", a->task, a->attempt,
+		n->name, wl_answer_name(a->answer));
 	if (a->answer == WL_ANSWER_RUNNING) {
 		task_run(t, now);
 		return;
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -10,11 +10,13 @@
 #define ESTIMATE_DEFAULT_MS 5000
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
+/* Room is made for an urgent unit so long before it is too late. */
+#define PRESSED_MARGIN (500 * NSEC_PER_MSEC)
 /* Without events, a pass after at most this. */
 #define PASS_IDLE NSEC_PER_SEC
 
 /* Time that a run of a step takes as far as is known. */
-static int64_t estimate(const struct wl_step *s)
+int64_t step_estimate(const struct wl_step *s)
 {
 	return (int64_t)(s->estimate_ms > 0 ? s->estimate_ms : ESTIMATE_DEFAULT_MS) *
 	       NSEC_PER_MSEC;
@@ -63,7 +65,7 @@
 				behind = MAX(behind, chain_from(j, s));
 		}
 	}
-	return estimate(&j->spec.steps[step]) + behind;
+	return step_estimate(&j->spec.steps[step]) + behind;
 }
 
 /* The longest chain of the whole job. */
@@ -212,12 +214,12 @@
 static bool may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
 {
 	return !u->step->rack_local || !rack_feasible(w, u, now) ||
-	       now - u->ready_at > (int64_t)(SPREAD_AFTER * (double)estimate(u->step));
+	       now - u->ready_at > (int64_t)(SPREAD_AFTER * (double)step_estimate(u->step));
 }
 
 /* Try one kind of room; the plan is kept where it places enough. */
-static bool try_place(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room,
-	GArray *plan)
+static bool try_place(
+	struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room, GArray *plan)
 {
 	if (place_unit(w, u, now, room, false, plan) > 0)
 		return true;
@@ -225,6 +227,13 @@
 	       place_unit(w, u, now, room, true, plan) > 0;
 }
 
+/* Whether an urgent unit will be late unless room is made for it now. */
+static bool is_pressed(const struct wl *w, const struct candidate *c)
+{
+	return c->unit->job->priority == 0 && !c->late &&
+	       c->slack < w->limits.stop_max + PRESSED_MARGIN;
+}
+
 /* Place a unit, wait for room that is being freed, or make room for it. */
 static void decide(struct wl *w, struct candidate *c, int64_t now, unsigned int *reservations)
 {
@@ -238,7 +247,7 @@
 			return;
 		g_array_set_size(plan, 0);
 	}
-	if (u->step->gang || c->entitled) {
+	if (u->step->gang || u->job->priority == 0) {
 		/* What is being stopped is kept for those that wait for it, in order. */
 		if (try_place(w, u, now, PLAN_SOON, plan) && plan->len == u->waiting) {
 			mirror(plan, PLAN_SOON);
@@ -252,7 +261,7 @@
 		}
 		g_array_set_size(plan, 0);
 	}
-	if (c->entitled && reclaim_for(w, u, now, plan)) {
+	if ((c->entitled || is_pressed(w, c)) && reclaim_for(w, u, now, c->entitled, plan)) {
 		mirror(plan, PLAN_SOON);
 		return;
 	}
@@ -270,6 +279,7 @@
 
 	if (w->config == NULL)
 		return next;
+	health_check(w, now);
 	compute_room(w);
 	TAILQ_FOREACH(j, &w->list, entry) {
 		int64_t due;
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -199,14 +199,15 @@
 	for (guint i = from; i < plan->len; i++) {
 		struct wl_node *n = g_array_index(plan, struct plan, i).node;
 
-		sum += room_of(n, which)->accelerators * 1000 + room_of(n, which)->cores_m / 1000;
+		sum += room_of(n, which)->accelerators * 1000 +
+		       room_of(n, which)->cores_m / 1000;
 	}
 	return sum;
 }
 
 /* Place a rack-local unit whole in one rack, the one that it fits most tightly. */
-static uint32_t place_in_rack(struct wl *w, struct wl_unit *u, int64_t now,
-	enum plan_room which, GArray *out)
+static uint32_t place_in_rack(
+	struct wl *w, struct wl_unit *u, int64_t now, enum plan_room which, GArray *out)
 {
 	g_autoptr(GPtrArray) racks = racks_of(w);
 	const char *only = rack_in_use(u);
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -48,6 +48,7 @@
 	uint64_t ordinal;
 	uint64_t seen;
 	uint32_t percent;
+	int64_t progress_at; /* when percent last changed */
 	uint32_t pace;
 	uint32_t figure;
 	/* The worker that failed or refused it last is taken only when no other fits. */
@@ -159,7 +160,8 @@
 void job_refresh(struct wl_job *j);
 void job_open_due(struct wl_job *j, int64_t now, int64_t wall);
 void job_dirty(struct wl_job *j);
-void job_finish(struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why);
+void job_finish(
+	struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why);
 int64_t job_next_due(const struct wl_job *j);
 bool unit_turn(const struct wl_unit *u);
 
@@ -168,8 +170,8 @@
 void task_detach(struct wl_task *t, int64_t now);
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *for_whom);
 void task_run(struct wl_task *t, int64_t now);
-void wl_run_ended(struct wl *w, struct wl_node *n, int64_t now, int64_t wall,
-	const struct wl_ended *e);
+void wl_run_ended(
+	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e);
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *for_whom);
 void job_stop_runs(struct wl_job *j, int64_t now, const char *why);
 uint32_t next_attempt(const struct wl *w, uint32_t last);
@@ -201,8 +203,14 @@
 	bool anywhere, GArray *out);
 bool rack_feasible(const struct wl *w, const struct wl_unit *u, int64_t now);
 
+/* wl-health.c */
+int64_t step_estimate(const struct wl_step *s);
+int64_t task_remaining(const struct wl_task *t, int64_t now);
+void task_progress(struct wl_task *t, int64_t now, uint32_t percent);
+void health_check(struct wl *w, int64_t now);
+
 /* wl-reclaim.c */
-bool reclaim_for(struct wl *w, struct wl_unit *u, int64_t now, GArray *plan);
+bool reclaim_for(struct wl *w, struct wl_unit *u, int64_t now, bool entitled, GArray *plan);
 bool unit_entitled(const struct wl *w, const struct wl_unit *u);
 
 #endif
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -37,8 +37,11 @@
 	       urgent_need(w, org->name) <= org->guaranteed;
 }
 
-/* Whether the runs of a unit may be stopped for one with a guarantee. */
-static bool may_stop(const struct wl *w, const struct wl_unit *u)
+/*
+ * Whether the runs of a unit may be stopped: those of lower priority always, urgent ones beyond
+ * their organisation's guarantee only for one within its own.
+ */
+static bool may_stop(const struct wl *w, const struct wl_unit *u, bool entitled)
 {
 	const struct wl_org *org;
 
@@ -46,6 +49,8 @@
 		return false;
 	if (u->job->priority > 0)
 		return true;
+	if (!entitled)
+		return false;
 	org = wl_config_org(w->config, u->job->spec.org);
 	return org == NULL || urgent_need(w, org->name) > org->guaranteed;
 }
@@ -82,6 +87,7 @@
 struct claim {
 	GPtrArray *victims;
 	double loss;
+	bool entitled;
 };
 
 /* Whether a task is already among the victims, by itself or with its gang. */
@@ -129,7 +135,7 @@
 		double loss;
 
 		if ((t->phase != TASK_RUNNING && t->phase != TASK_STARTING) ||
-			!may_stop(w, t->unit) || is_victim(c, t))
+			!may_stop(w, t->unit, c->entitled) || is_victim(c, t))
 			continue;
 		/* A run that frees none of what is short is no help. */
 		if (!((need->accelerators > n->soon.accelerators && frees.accelerators > 0) ||
@@ -214,7 +220,9 @@
 
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct wl_node *n = w->nodes->pdata[i];
-		struct claim trial = {.victims = g_ptr_array_copy(c->victims, NULL, NULL)};
+		struct claim trial = {.victims = g_ptr_array_copy(c->victims, NULL, NULL),
+			.loss = c->loss,
+			.entitled = c->entitled};
 		double loss;
 
 		if (node_suits(n, u, now) && (rack == NULL || g_strcmp0(rack, n->rack) == 0) &&
@@ -264,11 +272,12 @@
 		bool first = n->rack != NULL;
 
 		for (guint k = 0; k < i && first; k++)
-			first = g_strcmp0(
-					((struct wl_node *)w->nodes->pdata[k])->rack, n->rack) != 0;
+			first = g_strcmp0(((struct wl_node *)w->nodes->pdata[k])->rack,
+					n->rack) != 0;
 		if (!first)
 			continue;
-		if (claim_all(w, u, now, n->rack, c, plan) && (best == NULL || c->loss < least)) {
+		if (claim_all(w, u, now, n->rack, c, plan) &&
+			(best == NULL || c->loss < least)) {
 			best = n->rack;
 			least = c->loss;
 		}
@@ -277,13 +286,23 @@
 	return best != NULL && claim_all(w, u, now, best, c, plan);
 }
 
+/* Core-seconds of work that the waiting tasks of a unit are. */
+static double own_work(const struct wl_unit *u)
+{
+	const struct wl_step *s = u->step;
+	double cores = s->cores_m / 1000.0 + ACCELERATOR_CORES * (double)s->accelerators;
+
+	return cores * u->waiting * (double)step_estimate(s) / (double)NSEC_PER_SEC;
+}
+
 /*
- * Stop other runs to make room for a unit with a guarantee, losing as little work as can be.
- * Its places are added to the plan, counted on the room that will be free soon.
+ * Stop other runs to make room for an urgent unit, losing as little work as can be; one without
+ * a guarantee never loses more than it is. Its places are added to the plan, counted on the
+ * room that will be free soon.
  */
-bool reclaim_for(struct wl *w, struct wl_unit *u, int64_t now, GArray *plan)
+bool reclaim_for(struct wl *w, struct wl_unit *u, int64_t now, bool entitled, GArray *plan)
 {
-	struct claim c = {.victims = g_ptr_array_new()};
+	struct claim c = {.victims = g_ptr_array_new(), .entitled = entitled};
 	g_autoptr(GPtrArray) victims = c.victims;
 	guint from = plan->len;
 	bool ok = u->step->rack_local && claim_in_rack(w, u, now, &c, plan);
@@ -292,7 +311,7 @@
 		claim_undo(&c, plan, from);
 		ok = claim_all(w, u, now, NULL, &c, plan);
 	}
-	if (!ok) {
+	if (!ok || (!entitled && c.loss > own_work(u))) {
 		claim_undo(&c, plan, from);
 		return false;
 	}
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -40,6 +40,7 @@
 		TAILQ_REMOVE(&t->node->tasks, t, on_node);
 	t->node = NULL;
 	t->percent = 0;
+	t->progress_at = 0;
 	t->figure = 0;
 	t->pace = 100;
 	if (t->phase == TASK_DONE || t->phase == TASK_WAITING)
@@ -81,8 +82,8 @@
 		.life = t->node->life,
 		.task = name,
 		.attempt = t->attempt};
-	event_log(EV_TASK_STOP, "task=%s attempt=%u node=%s why=\"%s\" for=%s", name, t->attempt,
-		t->node->name, why, for_whom != NULL ? for_whom : "-");
+	event_log(EV_TASK_STOP, "task=%s attempt=%u node=%s why=\"%s\" for=%s", name,
+		t->attempt, t->node->name, why, for_whom != NULL ? for_whom : "-");
 	t->unit->job->wl->out.stop(t->unit->job->wl->out.arg, t->node->name, &o);
 }
 
@@ -195,14 +196,14 @@
 }
 
 /* An end that a worker lists. */
-void wl_run_ended(struct wl *w, struct wl_node *n, int64_t now, int64_t wall,
-	const struct wl_ended *e)
+void wl_run_ended(
+	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e)
 {
 	struct wl_task *t = job_task(w, e->task, now);
 	bool current;
 
-	event_log(EV_TASK_END, "task=%s attempt=%u node=%s how=%s saved=%s", e->task, e->attempt,
-		n->name, wl_end_name(e->how), e->checkpoint ? e->checkpoint : "");
+	event_log(EV_TASK_END, "task=%s attempt=%u node=%s how=%s saved=%s", e->task,
+		e->attempt, n->name, wl_end_name(e->how), e->checkpoint ? e->checkpoint : "");
 	if (t == NULL || wl_state_ended(t->unit->job->state)) {
 		if (t != NULL && t->node == n && t->attempt == e->attempt)
 			task_detach(t, now);
--- a/packages/workload/wl-spec.c
+++ b/packages/workload/wl-spec.c
@@ -49,8 +49,8 @@
 	}
 	for (uint32_t i = 0; i < s->after_len; i++) {
 		if (s->after[i].step >= number) {
-			error_set(err, ERR_INVALID, "step %u: waits for a step that is not earlier",
-				number);
+			error_set(err, ERR_INVALID,
+				"step %u: waits for a step that is not earlier", number);
 			return false;
 		}
 	}
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -262,6 +262,12 @@
 	uint64_t number;
 };
 
+/* Agent to coordinator: alive, though the worker may be silent. */
+struct wl_ping {
+	uint64_t term;
+	uint64_t sent_ns;
+};
+
 enum wl_msg_kind {
 	WL_MSG_HELLO = 64,
 	WL_MSG_LEAD_BEAT,
@@ -271,6 +277,7 @@
 	WL_MSG_STOP,
 	WL_MSG_PACE,
 	WL_MSG_STORED,
+	WL_MSG_PING,
 	WL_MSG_END
 };
 struct wl_msg {
@@ -284,6 +291,7 @@
 		struct wl_stop_order stop;
 		struct wl_pace_order pace;
 		struct wl_stored stored;
+		struct wl_ping ping;
 	};
 };
 struct bytes wl_msg_encode(const struct wl_msg *m);
@@ -330,7 +338,8 @@
 GPtrArray *wl_jobs_expired(struct wl *w, int64_t wall);
 void wl_job_forget(struct wl *w, const char *id);
 
-/* Workers. A node that may run tasks for an earlier coordinator is expected until it reports. */
+/* Workers. A node that may run tasks for an earlier coordinator is expected until it reports.
+ */
 void wl_node_expect(struct wl *w, int64_t now, const char *node);
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r);
 void wl_node_silent(struct wl *w, int64_t now, const char *node);
