workload, entry: places are stored before a start; an entry refuses early while the store is silent

Entries kept submissions for three store time-outs. A start that was lost with its connection stayed open for ever. Ruled out: shorter leases (they lapse over a restart of the agent beside the worker). Change: the record names the node before the order goes out; only tasks placed on a node that has not reported wait; the end of one gang member ends the run of all. Submissions are tried for 0.35 and 0.6 s, and refused at once while the store has been silent for 0.6 s.

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -342,6 +342,7 @@
 	a->heard = now_of(a);
 	a->term_age = (int64_t)b->age_ms * NSEC_PER_MSEC;
 	wl_worker_follow(a->worker, b->term);
+	wl_worker_ordered(a->worker, b->ordinal);
 	if (b->echo_ns != 0)
 		wl_worker_authority(
 			a->worker, (int64_t)b->echo_ns - a->term_age + AUTHORITY_MAX);
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -196,7 +196,7 @@
 		return;
 	}
 	rec->revision = MAX(rec->revision, res->at);
-	wl_job_stored(r->wl, rec->id, rec->version);
+	wl_job_stored(r->wl, loop_now(r->p->loop), rec->id, rec->version);
 }
 
 /* Learn the revisions that a refused transaction shows; false where the term is not ours. */
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -22,7 +22,7 @@
 /* An agent reports about once a second; after this it is taken to be out of reach. */
 #define AGENT_SILENCE (3500 * NSEC_PER_MSEC)
 /* No starts are ordered on a term that the store has not confirmed for so long. */
-#define START_AGE_MAX (4 * NSEC_PER_SEC)
+#define START_AGE_MAX (3 * NSEC_PER_SEC)
 /* A lease of a run on a worker whose clock is slow, and what a message may take. */
 #define LEASE_SLACK (400 * NSEC_PER_MSEC)
 /* Room for callers that ask for a job's state late. */
@@ -209,7 +209,8 @@
 		.lead_beat = {.term = c->term,
 			.age_ms = (uint32_t)MIN(term_age(c) / NSEC_PER_MSEC, UINT32_MAX),
 			.stopping = c->stopping,
-			.echo_ns = echo}};
+			.echo_ns = echo,
+			.ordinal = wl_ordinal(c->wl)}};
 
 	send_node(c, m->node, &msg);
 }
@@ -425,8 +426,8 @@
 		id, spec.queue, spec.org ? spec.org : "-", tasks, spec.steps[0].accelerators,
 		spec.steps[0].gang, spec.repetitions,
 		has_state ? wl_state_name(p.state) : "new", it->revision);
-	wl_job_add(c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec, has_state ? &p : NULL,
-		it->revision < c->term_revision);
+	wl_job_add(
+		c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec, has_state ? &p : NULL);
 	c->jobs++;
 	g_hash_table_remove(c->states, id);
 	fields_clear(&wl_spec_fields, &spec);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -137,6 +137,8 @@
 bool wl_worker_idle(const struct wl_worker *w);
 /* Orders are for one term; another term begins without what the last one had open. */
 void wl_worker_follow(struct wl_worker *w, uint64_t term);
+/* Starts up to this number have come, or were lost on their way and never will. */
+void wl_worker_ordered(struct wl_worker *w, uint64_t ordinal);
 void wl_worker_authority(struct wl_worker *w, int64_t until);
 void wl_worker_start(struct wl_worker *w, const struct wl_start_order *o);
 void wl_worker_stop(struct wl_worker *w, const struct wl_stop_order *o);
@@ -148,6 +150,6 @@
  * term. Long enough for a takeover and an ordinary outage of the store; what runs on an agent
  * that is out of reach waits this and a lease before it may start elsewhere.
  */
-#define AUTHORITY_MAX (5 * NSEC_PER_SEC)
+#define AUTHORITY_MAX (4 * NSEC_PER_SEC)
 
 #endif
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -14,7 +14,15 @@
 /* A configuration that was proved so long before a call's arrival still counts. */
 #define CONFIG_SLACK (300 * NSEC_PER_MSEC)
 /* A submission is written again so often while the store does not answer. */
-#define TRIES_MAX     6
+#define TRIES_MAX 6
+/*
+ * How long the store may take for a submission the first time, and again: a lost answer shows
+ * early, and a slow store still has the time that it needs on its slowest days.
+ */
+#define FIRST_PATIENCE (350 * NSEC_PER_MSEC)
+#define AGAIN_PATIENCE (600 * NSEC_PER_MSEC)
+/* A store that has answered nothing for so long is taken to be down. */
+#define STORE_SILENCE (600 * NSEC_PER_MSEC)
 #define RETRY_AFTER_S 1
 /* The depth of the queues is counted again after this. */
 #define DEPTH_MAX_AGE (700 * NSEC_PER_MSEC)
@@ -126,6 +134,8 @@
 		}
 		break;
 	case KV_UNSURE:
+		if (c->unsure)
+			c->tries = TRIES_MAX;
 		c->unsure = true;
 		break;
 	}
@@ -154,6 +164,7 @@
 	t.expect[1] = (struct kv_expect){job_key, 0};
 	t.write[0] = (struct kv_write){job_key, spec.data, spec.len, 0};
 	t.write[1] = (struct kv_write){state_key, state.data, state.len, 0};
+	t.timeout = c->unsure ? AGAIN_PATIENCE : FIRST_PATIENCE;
 	kv_commit(c->entry->p->kv, &t, submitted, c);
 	bytes_clear(&spec);
 	bytes_clear(&state);
@@ -438,11 +449,21 @@
 	serve(c, config);
 }
 
+/* Whether the store is known not to answer, so that nothing need be tried. */
+static bool store_is_down(const struct wl_entry *e)
+{
+	return kv_silence(e->p->kv) > STORE_SILENCE;
+}
+
 /* Route a call: a submission is checked by its own transaction, others by a recent proof. */
 void entry_call_route(struct entry_call *c)
 {
 	const struct wl_config *config = config_feed_get(c->entry->feed);
 
+	if (store_is_down(c->entry) && !c->unsure) {
+		entry_call_deny(c, 503, RETRY_AFTER_S, "the store does not answer");
+		return;
+	}
 	if (strcmp(http_method(c->request), "POST") == 0 && config != NULL &&
 		wl_config_route(config, c->host, c->path) != NULL &&
 		wl_config_key(config, c->key) != NULL) {
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -463,6 +463,11 @@
 	hold(w);
 }
 
+void wl_worker_ordered(struct wl_worker *w, uint64_t ordinal)
+{
+	w->last_ordinal = MAX(w->last_ordinal, ordinal);
+}
+
 /* Renew leases until then. */
 void wl_worker_authority(struct wl_worker *w, int64_t until)
 {
--- a/packages/state/kv.h
+++ b/packages/state/kv.h
@@ -66,6 +66,8 @@
 	size_t write_len;
 	const char *remove[KV_TXN_MAX];
 	size_t remove_len;
+	/* Nanoseconds after which the call counts as unanswered; 0 for the store's default. */
+	int64_t timeout;
 };
 
 enum kv_read {
@@ -85,5 +87,7 @@
 void kv_lease_end(struct kv *kv, int64_t lease, kv_fn *fn, void *arg);
 /* Calls under way; a process that stops waits for them. */
 unsigned int kv_open(const struct kv *kv);
+/* For how long calls have been open without the store answering any call; 0 where none are. */
+int64_t kv_silence(const struct kv *kv);
 
 #endif
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -134,6 +134,19 @@
 	j->wl->out.dirty(j->wl->out.arg, j->spec.id);
 }
 
+/* A task that may run on a node which has not reported yet waits for that. */
+static void hold_task(struct wl_task *t, const struct wl_mark *m)
+{
+	const struct wl_node *n = node_find(t->unit->job->wl, m->node);
+
+	t->attempt = MAX(t->attempt, m->attempt);
+	if (n == NULL || !n->expected || t->phase != TASK_WAITING)
+		return;
+	t->phase = TASK_HELD;
+	t->held_by = n;
+	t->unit->waiting--;
+}
+
 /* Take one stored mark into a job whose occurrence is open. */
 static void apply_mark(struct wl_job *j, const struct wl_mark *m)
 {
@@ -166,6 +179,8 @@
 	if (m->checkpoint != NULL)
 		g_strlcpy(u->tasks[m->index].checkpoint, m->checkpoint,
 			sizeof(u->tasks[m->index].checkpoint));
+	if (m->node != NULL && !m->done)
+		hold_task(&u->tasks[m->index], m);
 	if (m->done && u->tasks[m->index].phase != TASK_DONE) {
 		u->tasks[m->index].phase = TASK_DONE;
 		u->done++;
@@ -176,7 +191,7 @@
 
 /* Take in a job: a new one, or one with stored progress. */
 void wl_job_add(struct wl *w, int64_t now, int64_t wall, const struct wl_spec *spec,
-	const struct wl_progress *p, bool inherited)
+	const struct wl_progress *p)
 {
 	struct wl_job *j;
 
@@ -185,7 +200,6 @@
 	j = xcalloc(1, sizeof(*j));
 	j->wl = w;
 	fields_copy(&wl_spec_fields, &j->spec, spec);
-	j->inherited = inherited;
 	j->added_at = now;
 	job_refresh(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
@@ -229,36 +243,51 @@
 		job_finish(j, now, wall, WL_CANCELLED, "cancelled by its caller");
 }
 
-/* Add a mark to a list. */
-static void add_mark(GArray *marks, const struct wl_unit *u, uint32_t index, bool done,
-	uint32_t failures, uint32_t failed_attempt, const char *checkpoint)
+/* Add a mark to a list, where it says anything. */
+static void add_mark(GArray *marks, const struct wl_mark *m)
 {
-	struct wl_mark m = {.occurrence = u->occurrence,
-		.step = u->step_index,
-		.index = index,
-		.done = done,
-		.failures = failures,
-		.failed_attempt = failed_attempt};
-
-	if (!done && *checkpoint != '\0')
-		m.checkpoint = (char *)checkpoint;
-	if (done || failures > 0 || m.checkpoint != NULL)
-		g_array_append_val(marks, m);
+	struct wl_mark copy = *m;
+
+	if (m->done || (m->checkpoint != NULL && *m->checkpoint == '\0'))
+		copy.checkpoint = NULL;
+	if (m->done || m->failures > 0 || copy.checkpoint != NULL || m->node != NULL)
+		g_array_append_val(marks, copy);
+}
+
+/* Where a task may run, or NULL. */
+static char *place_of(const struct wl_task *t)
+{
+	if (t->phase == TASK_DONE)
+		return NULL;
+	if (t->phase == TASK_HELD)
+		return t->held_by->name;
+	return t->node != NULL ? t->node->name : NULL;
 }
 
 /* Collect the marks of a unit. */
 static void unit_marks(GArray *marks, const struct wl_unit *u)
 {
+	struct wl_mark m = {.occurrence = u->occurrence, .step = u->step_index};
+
 	if (u->step->gang || u->is_done) {
-		add_mark(marks, u, WL_STEP_WHOLE, u->is_done, u->failures, u->failed_attempt,
-			u->tasks[0].checkpoint);
-		return;
+		m.index = WL_STEP_WHOLE;
+		m.done = u->is_done;
+		m.failures = u->failures;
+		m.failed_attempt = u->failed_attempt;
+		m.checkpoint = u->tasks[0].checkpoint;
+		add_mark(marks, &m);
 	}
-	for (uint32_t i = 0; i < u->step->count; i++) {
-		const struct wl_task *t = &u->tasks[i];
-
-		add_mark(marks, u, i, t->phase == TASK_DONE, t->failures, t->failed_attempt,
-			t->checkpoint);
+	for (uint32_t i = 0; !u->is_done && i < u->step->count; i++) {
+		struct wl_task *t = &u->tasks[i];
+
+		m.index = i;
+		m.done = t->phase == TASK_DONE;
+		m.failures = u->step->gang ? 0 : t->failures;
+		m.failed_attempt = t->failed_attempt;
+		m.checkpoint = u->step->gang ? NULL : t->checkpoint;
+		m.node = place_of(t);
+		m.attempt = t->attempt;
+		add_mark(marks, &m);
 	}
 }
 
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -72,6 +72,8 @@
 	U32(wl_mark, failures),
 	U32(wl_mark, failed_attempt),
 	TEXT(wl_mark, checkpoint),
+	TEXT(wl_mark, node),
+	U32(wl_mark, attempt),
 };
 static const struct field_table wl_mark_fields = TABLE(wl_mark);
 
@@ -174,6 +176,7 @@
 	U32(wl_lead_beat, age_ms),
 	BOOL(wl_lead_beat, stopping),
 	U64(wl_lead_beat, echo_ns),
+	U64(wl_lead_beat, ordinal),
 };
 static const struct field_table wl_lead_beat_fields = TABLE(wl_lead_beat);
 
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -33,6 +33,11 @@
 	return NULL;
 }
 
+uint64_t wl_ordinal(const struct wl *w)
+{
+	return w->ordinal;
+}
+
 size_t wl_node_count(const struct wl *w)
 {
 	return w->nodes->len;
@@ -65,14 +70,16 @@
 	n->silent_at = now;
 }
 
-/* Whether some node may still run tasks that only an earlier coordinator knows of. */
-bool nodes_unsure(const struct wl *w)
+/* A node has reported, or nothing of an earlier coordinator runs there any more. */
+static void node_known(struct wl_node *n, int64_t now)
 {
-	for (guint i = 0; i < w->nodes->len; i++) {
-		if (((struct wl_node *)w->nodes->pdata[i])->expected)
-			return true;
-	}
-	return false;
+	struct wl_job *j;
+
+	if (!n->expected)
+		return;
+	n->expected = false;
+	TAILQ_FOREACH(j, &n->wl->list, entry)
+		job_release_held(j, n, now);
 }
 
 /* All runs of a node are over, without a word on how. */
@@ -187,7 +194,8 @@
 /* Whether a listed run may become the current run of a task that has none. */
 static bool can_adopt(const struct wl_task *t, const struct wl_run *r)
 {
-	if (t->node != NULL || t->phase != TASK_WAITING || r->attempt < t->attempt)
+	if (t->node != NULL || r->attempt < t->attempt ||
+		(t->phase != TASK_WAITING && t->phase != TASK_HELD))
 		return false;
 	if (wl_state_ended(t->unit->job->state))
 		return false;
@@ -265,7 +273,8 @@
 	while (t != NULL) {
 		struct wl_task *next = TAILQ_NEXT(t, on_node);
 
-		if (t->seen != n->serial && t->ordinal <= r->covers) {
+		if (t->seen != n->serial && t->phase != TASK_PLACED &&
+			t->ordinal <= r->covers) {
 			struct wl_unit *u = t->unit;
 
 			event_log(EV_TASK_END,
@@ -296,11 +305,11 @@
 		begin_life(n, now, r->life);
 	take_identity(n, now, r);
 	n->linked = true;
-	n->expected = false;
 	n->silent_at = now;
 	n->serial++;
 	take_ends(n, now, wall, r);
 	take_runs(n, now, r);
+	node_known(n, now);
 	drop_missing(n, now, r);
 	if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
 		node_lose_tasks(n, now, "the worker has left");
@@ -345,7 +354,7 @@
 			node_lose_tasks(n, now, "its leases have run out");
 		if (n->expected || n->life != NULL)
 			g_ptr_array_add(out, g_strdup(n->name));
-		n->expected = false;
+		node_known(n, now);
 		free(n->life);
 		n->life = NULL;
 	}
@@ -388,12 +397,14 @@
 }
 
 /* The versions up to this one are stored. */
-void wl_job_stored(struct wl *w, const char *id, uint64_t version)
+void wl_job_stored(struct wl *w, int64_t now, const char *id, uint64_t version)
 {
 	struct wl_job *j = wl_find_job(w, id);
 
-	if (j != NULL)
-		j->stored = MAX(j->stored, version);
+	if (j == NULL || version <= j->stored)
+		return;
+	j->stored = version;
+	job_send_starts(j, now);
 }
 
 /* Up to which end all is stored; true where the worker has not been told so far. */
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -98,7 +98,7 @@
 }
 
 /* A gang that has lost members stops the rest, so that it can start again whole. */
-static void mend_gang(struct wl *w, struct wl_unit *u, int64_t now)
+static void mend_gang(struct wl_unit *u, int64_t now)
 {
 	uint32_t attached = 0;
 	int64_t newest = 0;
@@ -107,20 +107,18 @@
 		attached += u->tasks[i].node != NULL;
 		newest = MAX(newest, MAX(u->tasks[i].placed_at, u->tasks[i].waiting_since));
 	}
-	if (attached == 0 || u->waiting == 0 || nodes_unsure(w) || now - newest < GANG_STALL)
+	if (attached == 0 || u->waiting == 0 || now - newest < GANG_STALL)
 		return;
 	unit_stop(u, now, "the gang is not whole", NULL);
 }
 
 /* Whether a unit may be placed now. */
-static bool is_ready(struct wl *w, struct wl_unit *u, int64_t now)
+static bool is_ready(struct wl_unit *u, int64_t now)
 {
 	if (u->is_done || u->waiting == 0 || u->retry_at > now || !unit_turn(u))
 		return false;
-	if (u->job->inherited && nodes_unsure(w))
-		return false;
 	if (u->step->gang && u->waiting < u->step->count) {
-		mend_gang(w, u, now);
+		mend_gang(u, now);
 		return false;
 	}
 	return true;
@@ -137,7 +135,7 @@
 			struct candidate c = {.unit = u};
 			int64_t goal;
 
-			if (!is_ready(w, u, now))
+			if (!is_ready(u, now))
 				continue;
 			if (u->ready_at == 0)
 				u->ready_at = now;
@@ -154,49 +152,30 @@
 	}
 }
 
-/* Send the starts of one unit, those for one worker together. */
-static void start_planned(struct wl *w, struct wl_unit *u, const GArray *plan, int64_t now)
+/* Place the tasks of a plan: the orders go out once the places are stored. */
+static void take_places(struct wl *w, struct wl_unit *u, const GArray *plan, int64_t now)
 {
 	uint32_t attempt = next_attempt(w, u->attempt);
+	struct wl_job *j = u->job;
 
 	for (guint i = 0; i < plan->len; i++) {
-		const struct plan *first = &g_array_index(plan, struct plan, i);
-		struct wl_node *n = first->node;
-		g_autoptr(GArray) starts = g_array_new(FALSE, TRUE, sizeof(struct wl_start));
-		struct wl_start_order o = {
-			.term = w->term, .life = n->life, .payload = u->job->spec.payload};
-
-		for (guint k = i; k < plan->len; k++) {
-			const struct plan *p = &g_array_index(plan, struct plan, k);
-			struct wl_task *t = p->task;
-			struct wl_start s = {.ordinal = w->ordinal + 1};
-
-			if (p->node != n || t->node != NULL)
-				continue;
-			w->ordinal++;
-			s.task = task_name(t);
-			s.attempt = u->step->gang ? attempt : next_attempt(w, t->attempt);
-			s.checkpoint = t->checkpoint;
-			task_attach(t, n, s.attempt);
-			t->phase = TASK_STARTING;
-			t->ordinal = s.ordinal;
-			t->placed_at = now;
-			t->running_at = 0;
-			t->stop_sent = 0;
-			event_log(EV_TASK_START,
-				"task=%s attempt=%u node=%s checkpoint=%s waited_ms=%" PRId64,
-				s.task, s.attempt, n->name, t->checkpoint,
-				(now - t->waiting_since) / NSEC_PER_MSEC);
-			g_array_append_val(starts, s);
-		}
-		if (starts->len == 0)
-			continue;
-		o.starts = (struct wl_start *)starts->data;
-		o.starts_len = starts->len;
-		w->out.start(w->out.arg, n->name, &o);
-		for (guint k = 0; k < starts->len; k++)
-			free(g_array_index(starts, struct wl_start, k).task);
+		const struct plan *p = &g_array_index(plan, struct plan, i);
+		struct wl_task *t = p->task;
+
+		task_attach(t, p->node, u->step->gang ? attempt : next_attempt(w, t->attempt));
+		t->phase = TASK_PLACED;
+		t->placed_version = j->version + 1;
+		t->placed_at = now;
+		t->running_at = 0;
+		t->stop_sent = 0;
+		event_log(EV_TASK_START,
+			"task=%s.%u.%u.%u attempt=%u node=%s checkpoint=%s waited_ms=%" PRId64,
+			j->spec.id, u->occurrence, u->step_index, t->index, t->attempt,
+			p->node->name, t->checkpoint, (now - t->waiting_since) / NSEC_PER_MSEC);
 	}
+	if (j->state == WL_QUEUED)
+		j->state = WL_RUNNING;
+	job_dirty(j);
 }
 
 /* Take from both rooms what a plan on one of them has taken. */
@@ -242,7 +221,7 @@
 
 	if (try_place(w, u, now, PLAN_FREE, plan)) {
 		mirror(plan, PLAN_FREE);
-		start_planned(w, u, plan, now);
+		take_places(w, u, plan, now);
 		if (u->waiting == 0)
 			return;
 		g_array_set_size(plan, 0);
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -21,6 +21,10 @@
 
 enum wl_phase {
 	TASK_WAITING,
+	/* An earlier coordinator placed it on a node that has not reported yet. */
+	TASK_HELD,
+	/* Placed; the order goes out once the place is stored. */
+	TASK_PLACED,
 	TASK_STARTING,
 	TASK_RUNNING,
 	TASK_STOPPING,
@@ -41,6 +45,10 @@
 	char checkpoint[WL_CHECKPOINT_MAX + 1];
 	/* Where the run is, also while it is being stopped; done tasks may still hold room. */
 	struct wl_node *node;
+	/* Of a held task: the node that has to report first. */
+	const struct wl_node *held_by;
+	/* Of a placed task: the version of its job that says where. */
+	uint64_t placed_version;
 	int64_t placed_at;
 	int64_t running_at;
 	int64_t stop_sent;
@@ -78,8 +86,6 @@
 	struct wl *wl;
 	struct wl_spec spec;
 	uint32_t state;
-	bool inherited;
-	bool counted;
 	int64_t added_at;
 	int64_t ended_ms;
 	/* Occurrences that are open; units are occurrence-major. */
@@ -174,13 +180,15 @@
 	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e);
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *for_whom);
 void job_stop_runs(struct wl_job *j, int64_t now, const char *why);
+void job_send_starts(struct wl_job *j, int64_t now);
+void task_release(struct wl_task *t, int64_t now);
+void job_release_held(struct wl_job *j, const struct wl_node *n, int64_t now);
 uint32_t next_attempt(const struct wl *w, uint32_t last);
 
 /* wl-node.c */
 struct wl_node *node_find(const struct wl *w, const char *name);
 void node_lose_tasks(struct wl_node *n, int64_t now, const char *why);
 bool node_usable(const struct wl_node *n, int64_t now);
-bool nodes_unsure(const struct wl *w);
 double node_strikes(const struct wl_node *n, int64_t now);
 void node_strike(struct wl_node *n, int64_t now);
 void node_clear_strikes(struct wl_node *n);
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -134,7 +134,8 @@
 		struct wl_need frees = task_need(t->unit->step);
 		double loss;
 
-		if ((t->phase != TASK_RUNNING && t->phase != TASK_STARTING) ||
+		if ((t->phase != TASK_RUNNING && t->phase != TASK_STARTING &&
+			    t->phase != TASK_PLACED) ||
 			!may_stop(w, t->unit, c->entitled) || is_victim(c, t))
 			continue;
 		/* A run that frees none of what is short is no help. */
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -27,6 +27,7 @@
 {
 	if (t->phase == TASK_WAITING)
 		t->unit->waiting--;
+	t->held_by = NULL;
 	t->node = n;
 	t->attempt = attempt;
 	t->unit->attempt = MAX(t->unit->attempt, attempt);
@@ -46,31 +47,53 @@
 	if (t->phase == TASK_DONE || t->phase == TASK_WAITING)
 		return;
 	t->phase = TASK_WAITING;
+	t->held_by = NULL;
 	t->waiting_since = now;
 	t->unit->waiting++;
 }
 
-/* A worker confirmed that the run is there. */
-void task_run(struct wl_task *t, int64_t now)
+/* It is known that a held task does not run. */
+void task_release(struct wl_task *t, int64_t now)
 {
-	struct wl_job *j = t->unit->job;
+	if (t->phase == TASK_HELD)
+		task_detach(t, now);
+}
 
-	if (t->phase == TASK_STARTING) {
-		t->phase = TASK_RUNNING;
-		t->running_at = now;
-	}
-	if (j->state == WL_QUEUED) {
-		j->state = WL_RUNNING;
-		job_dirty(j);
+/* A node has reported, or its leases have run out: what it held of a job is released. */
+void job_release_held(struct wl_job *j, const struct wl_node *n, int64_t now)
+{
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+			struct wl_unit *u = &j->occurrences[k][s];
+
+			for (uint32_t i = 0; i < u->step->count; i++) {
+				if (u->tasks[i].held_by == n)
+					task_release(&u->tasks[i], now);
+			}
+		}
 	}
 }
 
+/* A worker confirmed that the run is there. */
+void task_run(struct wl_task *t, int64_t now)
+{
+	if (t->phase != TASK_STARTING)
+		return;
+	t->phase = TASK_RUNNING;
+	t->running_at = now;
+}
+
 /* Order a run to stop, again after a while. */
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *for_whom)
 {
 	AUTOFREE char *name = NULL;
 	struct wl_stop_order o;
 
+	if (t->phase == TASK_PLACED) {
+		/* Never ordered: there is nothing to stop. */
+		task_detach(t, now);
+		return;
+	}
 	if (t->node == NULL || (t->stop_sent != 0 && now - t->stop_sent < STOP_AGAIN &&
 				       t->phase == TASK_STOPPING))
 		return;
@@ -91,7 +114,8 @@
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *for_whom)
 {
 	for (uint32_t i = 0; i < u->step->count; i++) {
-		if (u->tasks[i].phase == TASK_STARTING || u->tasks[i].phase == TASK_RUNNING)
+		if (u->tasks[i].phase == TASK_PLACED || u->tasks[i].phase == TASK_STARTING ||
+			u->tasks[i].phase == TASK_RUNNING)
 			task_stop(&u->tasks[i], now, why, for_whom);
 	}
 }
@@ -195,6 +219,73 @@
 		g_strlcpy(u->tasks[i].checkpoint, checkpoint, sizeof(t->checkpoint));
 }
 
+/*
+ * A member has ended without the gang being done: the run of all is over. Members on workers
+ * that are out of reach end there by themselves.
+ */
+static void gang_broken(struct wl_unit *u, int64_t now, uint32_t attempt, bool current)
+{
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		struct wl_task *t = &u->tasks[i];
+
+		if (t->attempt > attempt)
+			continue;
+		if (t->phase == TASK_HELD)
+			task_release(t, now);
+		else if (t->node != NULL && !t->node->linked)
+			task_detach(t, now);
+	}
+	if (current)
+		unit_stop(u, now, "a member of the gang has ended", NULL);
+}
+
+/* Send the orders for the placed tasks of a unit whose places are stored, a worker at a time.
+ */
+static void unit_send_starts(struct wl_unit *u, int64_t now)
+{
+	struct wl_job *j = u->job;
+	struct wl *w = j->wl;
+
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		struct wl_node *n = u->tasks[i].node;
+		g_autoptr(GArray) starts = g_array_new(FALSE, TRUE, sizeof(struct wl_start));
+		struct wl_start_order o = {.term = w->term, .payload = j->spec.payload};
+
+		for (uint32_t k = i; n != NULL && k < u->step->count; k++) {
+			struct wl_task *t = &u->tasks[k];
+			struct wl_start s = {
+				.attempt = t->attempt, .checkpoint = t->checkpoint};
+
+			if (t->node != n || t->phase != TASK_PLACED ||
+				t->placed_version > j->stored)
+				continue;
+			t->phase = TASK_STARTING;
+			t->ordinal = ++w->ordinal;
+			t->placed_at = now;
+			s.ordinal = t->ordinal;
+			s.task = task_name(t);
+			g_array_append_val(starts, s);
+		}
+		if (starts->len == 0)
+			continue;
+		o.life = n->life;
+		o.starts = (struct wl_start *)starts->data;
+		o.starts_len = starts->len;
+		w->out.start(w->out.arg, n->name, &o);
+		for (guint k = 0; k < starts->len; k++)
+			free(g_array_index(starts, struct wl_start, k).task);
+	}
+}
+
+/* Send the orders that waited for a job's places to be stored. */
+void job_send_starts(struct wl_job *j, int64_t now)
+{
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++)
+			unit_send_starts(&j->occurrences[k][s], now);
+	}
+}
+
 /* An end that a worker lists. */
 void wl_run_ended(
 	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e)
@@ -230,6 +321,6 @@
 		t->avoid = n;
 		ended_failed(t, now, wall, e->attempt);
 	}
-	if (current && t->unit->step->gang && !t->unit->is_done)
-		unit_stop(t->unit, now, "a member of the gang has ended", NULL);
+	if (t->unit->step->gang && !t->unit->is_done)
+		gang_broken(t->unit, now, e->attempt, current);
 }
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -83,6 +83,9 @@
 	/* The last attempt whose failure was counted. */
 	uint32_t failed_attempt;
 	char *checkpoint;
+	/* Where the task may run, and as which attempt; stored before it is started there. */
+	char *node;
+	uint32_t attempt;
 };
 
 /* The stored progress of a job. */
@@ -249,6 +252,9 @@
 	bool stopping;
 	/* sent_ns of the report that this answers; 0 for none. */
 	uint64_t echo_ns;
+	/* The last start that was ordered of anyone; what comes later on this link is higher.
+	 */
+	uint64_t ordinal;
 };
 struct wl_hello {
 	char *node;
@@ -323,17 +329,14 @@
 void wl_free(struct wl *w);
 void wl_set_config(struct wl *w, const struct wl_config *c);
 
-/*
- * Jobs. inherited: accepted before this coordinator's term, so that an earlier one may have
- * started tasks of it on workers that have not reported yet.
- */
+/* Jobs. Nodes that may still run tasks of them must have been expected before. */
 void wl_job_add(struct wl *w, int64_t now, int64_t wall, const struct wl_spec *spec,
-	const struct wl_progress *p, bool inherited);
+	const struct wl_progress *p);
 void wl_job_cancel(struct wl *w, int64_t now, int64_t wall, const char *id);
 bool wl_job_has(const struct wl *w, const char *id);
 /* The progress to be stored, and how far it goes. */
 struct bytes wl_job_progress(struct wl *w, const char *id, uint64_t *version);
-void wl_job_stored(struct wl *w, const char *id, uint64_t version);
+void wl_job_stored(struct wl *w, int64_t now, const char *id, uint64_t version);
 /* Ids of ended jobs that need not be remembered any longer; the list is g_free'd strings. */
 GPtrArray *wl_jobs_expired(struct wl *w, int64_t wall);
 void wl_job_forget(struct wl *w, const char *id);
@@ -346,6 +349,8 @@
 void wl_node_answer(struct wl *w, int64_t now, const struct wl_answer_note *a);
 /* The number up to which the ends of the node's life are stored; life is not owned. */
 bool wl_node_stored(struct wl *w, const char *node, const char **life, uint64_t *number);
+/* The number of the last start that was ordered. */
+uint64_t wl_ordinal(const struct wl *w);
 size_t wl_node_count(const struct wl *w);
 /* Names of nodes that need not be expected any more; g_free'd strings. */
 GPtrArray *wl_nodes_gone(struct wl *w, int64_t now);
