workload, agent: room is kept for what waits; a stale coordinator is replaced

Just after a restart a gang was spread over racks as its rack had not reported yet. Urgent tasks of a whole worker waited 9 s behind small ones on workers that never became empty. Change: agents campaign when the term was not confirmed for 2 s; a rack that may hold a unit once it is in reach is waited for; the first three units that find no place keep room where they have it first, and later ones may only take what they give back by then.

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -285,6 +285,14 @@
 	kv_get(a->p->kv, KEY_LEAD, KV_READ_EXACT, lead_read, a);
 }
 
+/* Whether there is no coordinator, or one whose term the store has not confirmed for long. */
+static bool needs_coordinator(const struct wl_agent *a)
+{
+	return a->state == LINK_NONE ||
+	       (a->state == LINK_OPEN && a->coord == NULL &&
+		       a->term_age + (now_of(a) - a->heard) > TERM_OLD);
+}
+
 /* Look after the link. */
 static void tick(void *arg)
 {
@@ -303,13 +311,12 @@
 	}
 	if (a->stopping)
 		return;
-	if (a->campaign_at != 0 && now >= a->campaign_at && a->state == LINK_NONE) {
+	if (a->campaign_at != 0 && now >= a->campaign_at && needs_coordinator(a)) {
 		a->campaign_at = 0;
 		campaign(a);
 		return;
 	}
-	if (a->state == LINK_NONE || (a->state == LINK_OPEN && a->coord == NULL &&
-					     a->term_age + (now - a->heard) > TERM_OLD))
+	if (needs_coordinator(a))
 		ask_lead(a);
 }
 
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -33,6 +33,7 @@
 			.memory_mb = n->capacity.memory_mb,
 			.accelerators = n->capacity.accelerators};
 		n->soon = n->free;
+		n->kept_from = 0;
 		TAILQ_FOREACH(t, &n->tasks, on_node) {
 			struct wl_need need = task_need(t->unit->step);
 
@@ -192,7 +193,7 @@
 /* Whether a rack-local unit may spread over racks now. */
 static bool may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
 {
-	return !u->step->rack_local || !rack_feasible(w, u, now) ||
+	return !u->step->rack_local || !rack_feasible(w, u) ||
 	       now - u->ready_at > (int64_t)(SPREAD_AFTER * (double)step_estimate(u->step));
 }
 
@@ -244,8 +245,10 @@
 		mirror(plan, PLAN_SOON);
 		return;
 	}
-	if (u->step->gang && *reservations < RESERVATIONS_MAX)
+	if (*reservations < RESERVATIONS_MAX) {
 		(*reservations)++;
+		keep_room(w, u, now, may_spread(w, u, now));
+	}
 }
 
 /* Place what can be placed. */
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -94,6 +94,14 @@
 	return which == PLAN_FREE ? &n->free : &n->soon;
 }
 
+/* Whether a task leaves the room that is kept on a worker for an earlier one. */
+static bool leaves_kept(const struct wl_node *n, const struct wl_task *t,
+	const struct wl_need *need, int64_t now)
+{
+	return n->kept_from == 0 || now + step_estimate(t->unit->step) <= n->kept_from ||
+	       room_fits(&n->beside_kept, need);
+}
+
 /* The best worker for a task, in one rack where rack is not NULL. */
 static struct wl_node *best_node(struct wl *w, const struct wl_task *t, int64_t now,
 	enum plan_room which, const char *rack, const GArray *plan)
@@ -107,7 +115,8 @@
 		struct wl_room *r = room_of(n, which);
 		struct place_cost c;
 
-		if (!node_suits(n, t->unit, now) || !room_fits(r, &need))
+		if (!node_suits(n, t->unit, now) || !room_fits(r, &need) ||
+			!leaves_kept(n, t, &need, now))
 			continue;
 		if (rack != NULL && g_strcmp0(rack, n->rack) != 0)
 			continue;
@@ -255,8 +264,16 @@
 	return placed;
 }
 
-/* Whether some rack could hold a rack-local unit if it were empty. */
-bool rack_feasible(const struct wl *w, const struct wl_unit *u, int64_t now)
+/* Whether tasks of a unit could run on a worker once it is in reach and healthy. */
+static bool node_may_suit(const struct wl_node *n, const struct wl_unit *u)
+{
+	return !n->left && !n->draining && n->life != NULL &&
+	       g_strcmp0(n->service, u->job->service) == 0 &&
+	       (u->step->label == NULL || has_label(n, u->step->label));
+}
+
+/* Whether some rack could hold a rack-local unit if it were empty and all of it in reach. */
+bool rack_feasible(const struct wl *w, const struct wl_unit *u)
 {
 	g_autoptr(GPtrArray) racks = racks_of(w);
 	struct wl_need need = task_need(u->step);
@@ -268,7 +285,9 @@
 			const struct wl_node *n = w->nodes->pdata[k];
 			uint64_t here = u->step->count;
 
-			if (!node_suits(n, u, now) || g_strcmp0(n->rack, racks->pdata[i]) != 0)
+			if (n->expected)
+				return true;
+			if (!node_may_suit(n, u) || g_strcmp0(n->rack, racks->pdata[i]) != 0)
 				continue;
 			if (need.cores_m > 0)
 				here = MIN(here, n->capacity.cores_m / need.cores_m);
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -144,6 +144,10 @@
 	GPtrArray *ghosts;
 	struct wl_room free; /* recomputed by each pass */
 	struct wl_room soon; /* free, and what is being stopped */
+	/* From then on room is kept for a unit that waits; 0 for none. What is left beside it.
+	 */
+	int64_t kept_from;
+	struct wl_room beside_kept;
 	TAILQ_HEAD(, wl_task) tasks;
 };
 
@@ -209,7 +213,10 @@
 };
 uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room,
 	bool anywhere, GArray *out);
-bool rack_feasible(const struct wl *w, const struct wl_unit *u, int64_t now);
+bool rack_feasible(const struct wl *w, const struct wl_unit *u);
+
+/* wl-keep.c */
+void keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere);
 
 /* wl-health.c */
 int64_t step_estimate(const struct wl_step *s);
