workload: headroom for urgent jobs, the first retry at once, useless jobs last

Cause: two thirds of what is lost are urgent jobs (objective 1.5 times their work): making room by stopping others takes 0.4 to 0.9 s of the second that they have to spare. Change: work with more than 0.35 of its objective to spare leaves so many of the emptiest workers alone as an urgent job of mean size takes; a first failure is retried without a pause; jobs past three times their objective go behind all others; ends that wait for the store are not polled.

--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -421,10 +421,12 @@
 		tasks += spec.steps[s].count;
 	event_log(EV_JOB_SEEN,
 		"job=%s queue=%s org=%s tasks=%" PRIu64
-		" accelerators=%u gang=%d repetitions=%u "
+		" accelerators=%u cores_m=%u estimate_ms=%u gang=%d rack_local=%d "
+		"repetitions=%u "
 		"state=%s revision=%" PRId64,
 		id, spec.queue, spec.org ? spec.org : "-", tasks, spec.steps[0].accelerators,
-		spec.steps[0].gang, spec.repetitions,
+		spec.steps[0].cores_m, spec.steps[0].estimate_ms, spec.steps[0].gang,
+		spec.steps[0].rack_local, spec.repetitions,
 		has_state ? wl_state_name(p.state) : "new", it->revision);
 	wl_job_add(
 		c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec, has_state ? &p : NULL);
@@ -682,6 +684,7 @@
 		.gang_wait = s->gang_wait,
 		.remote_penalty = s->remote_penalty,
 		.restore = s->restore,
+		.reclaim_max = s->reclaim_max,
 		.silence_max = AUTHORITY_MAX + s->hold_max + s->hold_max / 50 + LEASE_SLACK,
 		.retention = s->ended_visible + RETENTION_EXTRA};
 	const struct wl_out out = {.start = order_start,
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -19,6 +19,8 @@
 #define HOLD_WAIT_MS 1000
 /* Between calls that fail. */
 #define HOLD_PAUSE (250 * NSEC_PER_MSEC)
+/* Time for ends to be stored before the lists are asked for again. */
+#define STORE_WAIT (150 * NSEC_PER_MSEC)
 /* A start without an answer may still show in the lists; then it is made void. */
 #define UNSURE_PATIENCE (400 * NSEC_PER_MSEC)
 /* A worker that has not reported for so long is gone. */
@@ -61,6 +63,8 @@
 	int64_t authority;
 	uint64_t last_ordinal;
 	uint64_t ends_stored;
+	/* The last end that the worker has listed. */
+	uint64_t ends_listed;
 	GPtrArray *open;
 	bool holding;
 	uint64_t hold_covers;
@@ -164,6 +168,7 @@
 	w->born = born;
 	w->clock_at = 0;
 	w->ends_stored = 0;
+	w->ends_listed = 0;
 	while (w->open->len > 0)
 		open_drop(w, w->open->pdata[0]);
 }
@@ -291,7 +296,13 @@
 			settle_unsure(w, &r, w->hold_sent);
 			report(w, &r);
 		}
-		if (r.kind == PF_REPLY_OK)
+		if (r.ends_len > 0)
+			w->ends_listed = MAX(w->ends_listed, r.ends[r.ends_len - 1].number);
+		/* Ends that are listed and not stored are listed again at once: give them time.
+		 */
+		if (r.kind == PF_REPLY_OK && w->ends_listed > w->ends_stored)
+			hold_later(w, STORE_WAIT);
+		else if (r.kind == PF_REPLY_OK)
 			hold(w);
 		else
 			hold_later(w, HOLD_PAUSE);
@@ -449,6 +460,11 @@
 {
 	if (s->term == w->term && w->life != NULL && g_strcmp0(s->life, w->life) == 0)
 		w->ends_stored = MAX(w->ends_stored, s->number);
+	if (w->hold_timer != NULL && w->ends_listed <= w->ends_stored) {
+		loop_timer_del(w->p->loop, w->hold_timer);
+		w->hold_timer = NULL;
+		hold(w);
+	}
 }
 
 /* Follow a coordinator; 0 for none. */
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -204,6 +204,7 @@
 	job_refresh(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
+	headroom_note_job(w, j);
 	if (p != NULL && wl_state_ended(p->state)) {
 		j->state = p->state;
 		j->ended_ms = p->ended_ms;
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -10,6 +10,10 @@
 #define ESTIMATE_DEFAULT_MS 5000
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
+/* Work with more than this share of its objective to spare leaves the headroom alone. */
+#define PATIENT_SHARE 0.35
+/* A job that takes so many times its objective is of no use to its caller any more. */
+#define LATE_FACTOR 3
 /* Room is made for an urgent unit so long before it is too late. */
 #define PRESSED_MARGIN (500 * NSEC_PER_MSEC)
 /* Without events, a pass after at most this. */
@@ -52,7 +56,10 @@
 	bool entitled;
 	/* Time left until it must start to meet its objective; late ones go behind. */
 	int64_t slack;
-	bool late;
+	/* 0: can be in time; 1: late, and still of use; 2: of no use to its caller any more. */
+	int tier;
+	/* Has more than a share of its objective left before it must start. */
+	bool patient;
 };
 
 /* The longest chain of estimates from a step to the end of the job. */
@@ -87,12 +94,14 @@
 	const struct wl_job *ja = a->unit->job;
 	const struct wl_job *jb = b->unit->job;
 
+	if ((a->tier == 2) != (b->tier == 2))
+		return a->tier == 2 ? 1 : -1;
 	if (ja->priority != jb->priority)
 		return ja->priority < jb->priority ? -1 : 1;
 	if (a->entitled != b->entitled)
 		return a->entitled ? -1 : 1;
-	if (a->late != b->late)
-		return a->late ? 1 : -1;
+	if (a->tier != b->tier)
+		return a->tier < b->tier ? -1 : 1;
 	if (a->slack != b->slack)
 		return a->slack < b->slack ? -1 : 1;
 	return a->unit < b->unit ? -1 : 1;
@@ -145,9 +154,11 @@
 			c.slack = j->added_at + goal - now - chain_from(j, s);
 			if (j->spec.repetitions > 0)
 				c.slack = u->ready_at + goal - now - chain_from(j, s);
-			c.late = c.slack < 0;
-			if (c.late)
-				c.slack += 2 * goal;
+			c.patient = c.slack > (int64_t)(PATIENT_SHARE * (double)goal);
+			if (c.slack < 0) {
+				c.slack += (LATE_FACTOR - 1) * goal;
+				c.tier = c.slack < 0 ? 2 : 1;
+			}
 			g_array_append_val(out, c);
 		}
 	}
@@ -210,7 +221,7 @@
 /* Whether an urgent unit will be late unless room is made for it now. */
 static bool is_pressed(const struct wl *w, const struct candidate *c)
 {
-	return c->unit->job->priority == 0 && !c->late &&
+	return c->unit->job->priority == 0 && c->tier == 0 &&
 	       c->slack < w->limits.stop_max + PRESSED_MARGIN;
 }
 
@@ -256,6 +267,7 @@
 {
 	g_autoptr(GArray) order = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	unsigned int reservations = 0;
+	bool chosen = false;
 	int64_t next = PASS_IDLE;
 	struct wl_job *j;
 
@@ -278,6 +290,11 @@
 	for (guint i = 0; i < order->len; i++) {
 		struct candidate *c = &g_array_index(order, struct candidate, i);
 
+		if (!chosen && c->unit->job->priority > 0) {
+			headroom_choose(w);
+			chosen = true;
+		}
+		w->may_use_headroom = c->unit->job->priority == 0 || c->tier > 0 || !c->patient;
 		decide(w, c, now, &reservations);
 	}
 	return order->len > 0 ? MIN(next, 100 * NSEC_PER_MSEC) : next;
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -37,7 +37,8 @@
 /* Whether tasks of a unit may run on a worker at all. */
 bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now)
 {
-	return node_usable(n, now) && g_strcmp0(n->service, u->job->service) == 0 &&
+	return node_usable(n, now) && (!n->headroom || n->wl->may_use_headroom) &&
+	       g_strcmp0(n->service, u->job->service) == 0 &&
 	       (u->step->label == NULL || has_label(n, u->step->label));
 }
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -144,6 +144,8 @@
 	GPtrArray *ghosts;
 	struct wl_room free; /* recomputed by each pass */
 	struct wl_room soon; /* free, and what is being stopped */
+	/* Left empty for urgent work that may come. */
+	bool headroom;
 	/* From then on room is kept for a unit that waits; 0 for none. What is left beside it.
 	 */
 	int64_t kept_from;
@@ -160,6 +162,10 @@
 	TAILQ_HEAD(, wl_job) list;
 	GPtrArray *nodes;
 	uint64_t ordinal;
+	/* Accelerators that an urgent job asks for, a moving mean. */
+	double urgent_size;
+	/* The unit that is being placed may take the headroom. */
+	bool may_use_headroom;
 };
 
 /* wl-job.c */
@@ -215,6 +221,10 @@
 	bool anywhere, GArray *out);
 bool rack_feasible(const struct wl *w, const struct wl_unit *u);
 
+/* wl-headroom.c */
+void headroom_note_job(struct wl *w, const struct wl_job *j);
+void headroom_choose(struct wl *w);
+
 /* wl-keep.c */
 void keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere);
 
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -56,29 +56,30 @@
 }
 
 /* Core-seconds that are lost if a task is stopped now. */
-static double task_loss(const struct wl_task *t, int64_t now)
+static double task_loss(const struct wl *w, const struct wl_task *t, int64_t now)
 {
 	const struct wl_step *s = t->unit->step;
 	double cores = s->cores_m / 1000.0 + ACCELERATOR_CORES * (double)s->accelerators;
 	int64_t ran = t->running_at > 0 ? now - t->running_at : 0;
 
+	/* A stop saves what was done. */
 	if (s->checkpoints)
-		ran = MIN(ran, NSEC_PER_SEC);
+		ran = MIN(ran, w->limits.restore);
 	if (s->long_running)
 		ran = NSEC_PER_SEC;
 	return cores * (double)MAX(ran, 0) / (double)NSEC_PER_SEC;
 }
 
 /* What is lost if a task's run goes: a gang goes whole. */
-static double victim_loss(const struct wl_task *t, int64_t now)
+static double victim_loss(const struct wl *w, const struct wl_task *t, int64_t now)
 {
 	double sum = 0;
 
 	if (!t->unit->step->gang)
-		return task_loss(t, now);
+		return task_loss(w, t, now);
 	for (uint32_t i = 0; i < t->unit->step->count; i++) {
 		if (t->unit->tasks[i].node != NULL)
-			sum += task_loss(&t->unit->tasks[i], now);
+			sum += task_loss(w, &t->unit->tasks[i], now);
 	}
 	return sum;
 }
@@ -143,7 +144,7 @@
 			    (need->cores_m > n->soon.cores_m && frees.cores_m > 0) ||
 			    (need->memory_mb > n->soon.memory_mb && frees.memory_mb > 0)))
 			continue;
-		loss = victim_loss(t, now);
+		loss = victim_loss(w, t, now);
 		if (best == NULL || loss < least) {
 			best = t;
 			least = loss;
@@ -171,7 +172,7 @@
 			return false;
 		}
 		g_ptr_array_add(c->victims, v);
-		c->loss += victim_loss(v, now);
+		c->loss += victim_loss(w, v, now);
 		shift_room(v, true);
 	}
 	return true;
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -198,7 +198,9 @@
 		return;
 	*counted = attempt;
 	(*failures)++;
-	u->retry_at = now + MIN(RETRY_PAUSE << MIN(*failures, 8u), RETRY_PAUSE_MAX);
+	u->retry_at = *failures == 1
+			      ? now
+			      : now + MIN(RETRY_PAUSE << MIN(*failures, 8u), RETRY_PAUSE_MAX);
 	if (*failures >= u->job->attempts_max && !u->step->long_running)
 		job_finish(u->job, now, wall, WL_FAILED, "a task failed as often as it may");
 	job_dirty(u->job);
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -311,6 +311,7 @@
 	double remote_penalty; /* work off its rack takes so many times as long */
 	int64_t restore;       /* resuming from a checkpoint takes this */
 	int64_t silence_max;   /* after this nothing runs on a worker out of reach */
+	int64_t reclaim_max;   /* a guaranteed unit has started within this */
 	int64_t retention;     /* an ended job is remembered for this */
 };
 
