--- a/packages/workload/wl-headroom.c
+++ b/packages/workload/wl-headroom.c
@@ -8,10 +8,10 @@
 
 /* Weight of the newest job in the mean size. */
 #define SIZE_WEIGHT 0.1
-/* Headroom is for so many jobs of mean size. */
-#define HEADROOM_JOBS 1.0
+/* Headroom is for an urgent job half again as large as the mean. */
+#define HEADROOM_JOBS 1.5
 /* At most this share of the workers is left empty. */
-#define HEADROOM_SHARE_MAX 0.3
+#define HEADROOM_SHARE_MAX 0.4
 
 /* Learn the size of urgent jobs. */
 void headroom_note_job(struct wl *w, const struct wl_job *j)
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -11,7 +11,7 @@
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
 /* Work with more than this share of its objective to spare leaves the headroom alone. */
-#define PATIENT_SHARE 0.35
+#define PATIENT_SHARE 0.25
 /* A job that takes so many times its objective is of no use to its caller any more. */
 #define LATE_FACTOR 3
 /* Room is made for an urgent unit so long before it is too late. */
