workload: run times are learned by queue

Change: the estimate and the mean of past runs are weighed by how wrong each has been. No claim beyond that it does not harm where estimates are good.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -6,9 +6,11 @@
 EVENT(EV_STORE_LOST, "store-lost", "call status age_ms", "the store no longer answers")
 EVENT(EV_STORE_BACK, "store-back", "gap_ms", "the store answers again")
 EVENT(EV_CONFIG, "config", "version revision queues orgs", "another configuration is in force")
-EVENT(EV_CONFIG_BAD, "config-bad", "revision error", "a configuration cannot be read; the last one stays")
+EVENT(EV_CONFIG_BAD, "config-bad", "revision error",
+	"a configuration cannot be read; the last one stays")
 EVENT(EV_READY, "ready", "ready config_age_ms", "the readiness of an entry changed")
-EVENT(EV_SUBMIT, "submit", "job queue org status reason config", "a job was accepted or refused")
+EVENT(EV_SUBMIT, "submit", "job queue org status reason config",
+	"a job was accepted or refused")
 EVENT(EV_QUERY, "query", "job status state config_age_ms", "a job's state was answered")
 EVENT(EV_CANCEL, "cancel", "job status config_age_ms", "a cancellation was answered")
 EVENT(EV_DENY, "deny", "path status reason key", "a call was refused before it reached a job")
@@ -17,13 +19,17 @@
 EVENT(EV_TERM_SEEN, "term-seen", "term addr", "an agent follows this coordinator")
 EVENT(EV_LINK_LOST, "link-lost", "addr why silent_ms", "an agent lost its coordinator")
 EVENT(EV_WORKER_UP, "worker-up", "node life rack free", "a worker can take tasks")
-EVENT(EV_WORKER_SILENT, "worker-silent", "node life tasks until_ms", "a worker's agent is out of reach")
-EVENT(EV_WORKER_GONE, "worker-gone", "node life why tasks", "a worker's tasks are proved not to run")
+EVENT(EV_WORKER_SILENT, "worker-silent", "node life tasks until_ms",
+	"a worker's agent is out of reach")
+EVENT(EV_WORKER_GONE, "worker-gone", "node life why tasks",
+	"a worker's tasks are proved not to run")
 EVENT(EV_WORKER_DRAIN, "worker-drain", "node life remaining_ms tasks", "a worker is leaving")
-EVENT(EV_WORKER_SUSPECT, "worker-suspect", "node strikes", "a worker fails or stalls what it runs")
+EVENT(EV_WORKER_SUSPECT, "worker-suspect", "node strikes",
+	"a worker fails or stalls what it runs")
 EVENT(EV_JOB_SEEN, "job-seen", "job queue org tasks revision", "the coordinator has a new job")
 EVENT(EV_JOB_END, "job-end", "job state why", "a job has ended")
-EVENT(EV_TASK_START, "task-start", "task attempt node checkpoint waited_ms", "a task was placed")
+EVENT(EV_TASK_START, "task-start", "task attempt node checkpoint waited_ms",
+	"a task was placed")
 EVENT(EV_TASK_RUN, "task-run", "task attempt node answer", "a worker answered a start")
 EVENT(EV_TASK_END, "task-end", "task attempt node how saved", "a run has ended")
 EVENT(EV_TASK_STOP, "task-stop", "task attempt node why for", "a run is stopped")
--- a/packages/workload/wl-health.c
+++ b/packages/workload/wl-health.c
@@ -14,7 +14,7 @@
 /* How long a run still takes, by its progress, or by its estimate before there is any. */
 int64_t task_remaining(const struct wl_task *t, int64_t now)
 {
-	int64_t estimate = step_estimate(t->unit->step);
+	int64_t estimate = step_estimate(t->unit->job, t->unit->step);
 	int64_t ran = t->running_at > 0 ? now - t->running_at : 0;
 
 	if (t->percent == 0 || ran < PROGRESS_MIN)
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -442,6 +442,8 @@
 		job_free(j);
 	}
 	g_hash_table_destroy(w->jobs);
+	if (w->learned != NULL)
+		g_hash_table_destroy(w->learned);
 	free(w);
 }
 
--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -34,7 +34,7 @@
 		if (t->unit->step->long_running && t->phase == TASK_RUNNING)
 			continue;
 		if (t->phase == TASK_PLACED || t->phase == TASK_STARTING)
-			f.at = now + step_estimate(t->unit->step);
+			f.at = now + step_estimate(t->unit->job, t->unit->step);
 		else if (t->phase == TASK_RUNNING)
 			f.at = now + task_remaining(t, now);
 		g_array_append_val(ends, f);
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -6,8 +6,6 @@
 #define RESERVATIONS_MAX 3
 /* A rack-local unit spreads over racks once it has waited this share of its run time. */
 #define SPREAD_AFTER 0.5
-/* An estimate is missing: take a task to run for so long. */
-#define ESTIMATE_DEFAULT_MS 5000
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
 /* Work with more than this share of its objective to spare leaves the headroom alone. */
@@ -19,13 +17,6 @@
 /* Without events, a pass after at most this. */
 #define PASS_IDLE NSEC_PER_SEC
 
-/* Time that a run of a step takes as far as is known. */
-int64_t step_estimate(const struct wl_step *s)
-{
-	return (int64_t)(s->estimate_ms > 0 ? s->estimate_ms : ESTIMATE_DEFAULT_MS) *
-	       NSEC_PER_MSEC;
-}
-
 /* Compute the room of each worker from what is attached to it. */
 static void compute_room(struct wl *w)
 {
@@ -73,7 +64,7 @@
 				behind = MAX(behind, chain_from(j, s));
 		}
 	}
-	return step_estimate(&j->spec.steps[step]) + behind;
+	return step_estimate(j, &j->spec.steps[step]) + behind;
 }
 
 /* The longest chain of the whole job. */
@@ -205,7 +196,8 @@
 static bool may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
 {
 	return !u->step->rack_local || !rack_feasible(w, u) ||
-	       now - u->ready_at > (int64_t)(SPREAD_AFTER * (double)step_estimate(u->step));
+	       now - u->ready_at >
+		       (int64_t)(SPREAD_AFTER * (double)step_estimate(u->job, u->step));
 }
 
 /* Try one kind of room; the plan is kept where it places enough. */
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -99,7 +99,8 @@
 static bool leaves_kept(const struct wl_node *n, const struct wl_task *t,
 	const struct wl_need *need, int64_t now)
 {
-	return n->kept_from == 0 || now + step_estimate(t->unit->step) <= n->kept_from ||
+	return n->kept_from == 0 ||
+	       now + step_estimate(t->unit->job, t->unit->step) <= n->kept_from ||
 	       room_fits(&n->beside_kept, need);
 }
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -162,6 +162,8 @@
 	TAILQ_HEAD(, wl_job) list;
 	GPtrArray *nodes;
 	uint64_t ordinal;
+	/* Run times by queue. */
+	GHashTable *learned;
 	/* Accelerators that an urgent job asks for, a moving mean. */
 	double urgent_size;
 	/* The unit that is being placed may take the headroom. */
@@ -228,8 +230,11 @@
 /* wl-keep.c */
 void keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere);
 
+/* wl-learn.c */
+void learn_run(struct wl_task *t, int64_t took);
+int64_t step_estimate(const struct wl_job *j, const struct wl_step *s);
+
 /* wl-health.c */
-int64_t step_estimate(const struct wl_step *s);
 int64_t task_remaining(const struct wl_task *t, int64_t now);
 void task_progress(struct wl_task *t, int64_t now, uint32_t percent);
 void health_check(struct wl *w, int64_t now);
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -294,7 +294,7 @@
 	const struct wl_step *s = u->step;
 	double cores = s->cores_m / 1000.0 + ACCELERATOR_CORES * (double)s->accelerators;
 
-	return cores * u->waiting * (double)step_estimate(s) / (double)NSEC_PER_SEC;
+	return cores * u->waiting * (double)step_estimate(u->job, s) / (double)NSEC_PER_SEC;
 }
 
 /*
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -307,6 +307,8 @@
 	t->unit->attempt = MAX(t->unit->attempt, e->attempt);
 	if (e->how == WL_END_DONE && !t->unit->step->long_running) {
 		node_clear_strikes(n);
+		if (current && t->running_at > 0 && *t->checkpoint == '\0')
+			learn_run(t, now - t->running_at);
 		if (current)
 			task_detach(t, now);
 		ended_done(t, now, wall);
