workload, tests: a property over fake workers, links and a fake store; gangs wait for proof

The end of one gang member was taken to end the run of all, also on workers out of reach; our own stop of the members in reach released the others while they ran on behind a cut. Change: members on a worker out of reach are over only by its report, its next life, or its leases.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -176,12 +176,12 @@
 #undef EVENT
 	EVENT_COUNT
 };
-struct event_kind {
+struct event_info {
 	const char *name;
 	const char *fields;
 	const char *help;
 };
-extern const struct event_kind event_kinds[EVENT_COUNT];
+extern const struct event_info event_infos[EVENT_COUNT];
 void event_set_process(const char *name);
 void event_log(enum event_id id, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 void event_flush(void);
--- a/packages/base/event.c
+++ b/packages/base/event.c
@@ -22,7 +22,7 @@
 COUNTER(lines_dropped, "damaskpath_log_dropped_total",
 	"Log lines dropped for a slow reader or over the rate.");
 
-const struct event_kind event_kinds[EVENT_COUNT] = {
+const struct event_info event_infos[EVENT_COUNT] = {
 #define EVENT(id, name, fields, help) [id] = {name, fields, help},
 #include "event-table.h"
 #undef EVENT
@@ -76,7 +76,7 @@
 		return;
 	xasprintf(&text, "lines=%llu", (unsigned long long)dropped_in_second);
 	dropped_in_second = 0;
-	append_line(wall, event_kinds[EV_LOG_DROPPED].name, text);
+	append_line(wall, event_infos[EV_LOG_DROPPED].name, text);
 }
 
 /* Log one event; fmt gives its fields as logfmt. From any thread. */
@@ -101,7 +101,7 @@
 	} else {
 		in_second++;
 		of_kind[id]++;
-		append_line(wall, event_kinds[id].name, text);
+		append_line(wall, event_infos[id].name, text);
 	}
 	pthread_mutex_unlock(&lock);
 }
@@ -136,6 +136,6 @@
 void event_help(FILE *out)
 {
 	for (size_t i = 0; i < EVENT_COUNT; i++)
-		fprintf(out, "%-22s %-46s %s\n", event_kinds[i].name, event_kinds[i].fields,
-			event_kinds[i].help);
+		fprintf(out, "%-22s %-46s %s\n", event_infos[i].name, event_infos[i].fields,
+			event_infos[i].help);
 }
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -236,13 +236,7 @@
 			mirror(plan, PLAN_SOON);
 			return;
 		}
-		for (guint i = 0; i < plan->len; i++) {
-			const struct plan *p = &g_array_index(plan, struct plan, i);
-			struct wl_need need = task_need(u->step);
-
-			room_give(&p->node->soon, &need);
-		}
-		g_array_set_size(plan, 0);
+		plan_undo(plan, 0, PLAN_SOON);
 	}
 	if ((c->entitled || is_pressed(w, c)) && reclaim_for(w, u, now, c->entitled, plan)) {
 		mirror(plan, PLAN_SOON);
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -57,6 +57,12 @@
 	return count;
 }
 
+/* Whether one more task of a unit may go to a worker beside those that are there. */
+bool spread_allows(const struct wl_unit *u, const struct wl_node *n, const GArray *plan)
+{
+	return u->step->per_worker_max == 0 || on_node(u, n, plan) < u->step->per_worker_max;
+}
+
 /* What counts against putting a task on a worker; smaller is better. */
 struct place_cost {
 	double suspicion;
@@ -122,8 +128,7 @@
 			continue;
 		if (rack != NULL && g_strcmp0(rack, n->rack) != 0)
 			continue;
-		if (t->unit->step->per_worker_max > 0 &&
-			on_node(t->unit, n, plan) >= t->unit->step->per_worker_max)
+		if (!spread_allows(t->unit, n, plan))
 			continue;
 		c = cost_of(n, r, t, &need, now);
 		if (best == NULL || cost_less(&c, &least)) {
@@ -164,7 +169,7 @@
 }
 
 /* Take back the plan behind a position. */
-static void undo(GArray *plan, guint from, enum plan_room which)
+void plan_undo(GArray *plan, guint from, enum plan_room which)
 {
 	for (guint i = from; i < plan->len; i++) {
 		const struct plan *p = &g_array_index(plan, struct plan, i);
@@ -237,7 +242,7 @@
 		cost = leftover(out, from, which);
 		if (u->step->data_rack != NULL && strcmp(u->step->data_rack, rack) != 0)
 			cost += INT32_MAX;
-		undo(out, from, which);
+		plan_undo(out, from, which);
 		if (placed == u->waiting && cost < least) {
 			least = cost;
 			best = rack;
@@ -260,7 +265,7 @@
 		return place_in_rack(w, u, now, which, out);
 	placed = place_tasks(w, u, now, which, NULL, out);
 	if (u->step->gang && placed < u->waiting) {
-		undo(out, from, which);
+		plan_undo(out, from, which);
 		return 0;
 	}
 	return placed;
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -221,6 +221,8 @@
 };
 uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room,
 	bool anywhere, GArray *out);
+bool spread_allows(const struct wl_unit *u, const struct wl_node *n, const GArray *plan);
+void plan_undo(GArray *plan, guint from, enum plan_room which);
 bool rack_feasible(const struct wl *w, const struct wl_unit *u);
 
 /* wl-headroom.c */
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -181,36 +181,13 @@
 /* Undo what a claim has done to the room, from a plan position on. */
 static void claim_undo(struct claim *c, GArray *plan, guint from)
 {
-	for (guint i = from; i < plan->len; i++) {
-		const struct plan *p = &g_array_index(plan, struct plan, i);
-		struct wl_need need = task_need(p->task->unit->step);
-
-		room_give(&p->node->soon, &need);
-	}
-	g_array_set_size(plan, from);
+	plan_undo(plan, from, PLAN_SOON);
 	for (guint i = 0; i < c->victims->len; i++)
 		shift_room(c->victims->pdata[i], false);
 	g_ptr_array_set_size(c->victims, 0);
 	c->loss = 0;
 }
 
-/* Runs of a unit on a node, with the planned ones. */
-static bool spread_allows(const struct wl_unit *u, const struct wl_node *n, const GArray *plan)
-{
-	uint32_t count = 0;
-
-	if (u->step->per_worker_max == 0)
-		return true;
-	for (uint32_t i = 0; i < u->step->count; i++)
-		count += u->tasks[i].node == n;
-	for (guint i = 0; i < plan->len; i++) {
-		const struct plan *p = &g_array_index(plan, struct plan, i);
-
-		count += p->task->unit == u && p->node == n;
-	}
-	return count < u->step->per_worker_max;
-}
-
 /* Make room for one more task of a unit where that loses least. */
 static bool claim_one(struct wl *w, struct wl_unit *u, struct wl_task *t, int64_t now,
 	const char *rack, struct claim *c, GArray *plan)
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -221,26 +221,6 @@
 		g_strlcpy(u->tasks[i].checkpoint, checkpoint, sizeof(t->checkpoint));
 }
 
-/*
- * A member has ended without the gang being done: the run of all is over. Members on workers
- * that are out of reach end there by themselves.
- */
-static void gang_broken(struct wl_unit *u, int64_t now, uint32_t attempt, bool current)
-{
-	for (uint32_t i = 0; i < u->step->count; i++) {
-		struct wl_task *t = &u->tasks[i];
-
-		if (t->attempt > attempt)
-			continue;
-		if (t->phase == TASK_HELD)
-			task_release(t, now);
-		else if (t->node != NULL && !t->node->linked)
-			task_detach(t, now);
-	}
-	if (current)
-		unit_stop(u, now, "a member of the gang has ended", NULL);
-}
-
 /* Send the orders for the placed tasks of a unit whose places are stored, a worker at a time.
  */
 static void unit_send_starts(struct wl_unit *u, int64_t now)
@@ -325,6 +305,6 @@
 		t->avoid = n;
 		ended_failed(t, now, wall, e->attempt);
 	}
-	if (t->unit->step->gang && !t->unit->is_done)
-		gang_broken(t->unit, now, e->attempt, current);
+	if (current && t->unit->step->gang && !t->unit->is_done)
+		unit_stop(t->unit, now, "a member of the gang has ended", NULL);
 }
--- a/tests/property/main.cc
+++ b/tests/property/main.cc
@@ -13,6 +13,7 @@
 	prop_protocol();
 	prop_sched();
 	prop_gang();
+	prop_workload();
 	printf("properties: %d passed, %d failed\n", prop_passed, prop_failed);
 	return prop_failed == 0 ? 0 : 1;
 }
--- a/tests/property/prop.h
+++ b/tests/property/prop.h
@@ -23,5 +23,6 @@
 void prop_pack();
 void prop_protocol();
 void prop_gang();
+void prop_workload();
 
 #endif
