--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -7,5 +7,6 @@
 void unit_state(CU_pSuite s);
 void unit_agent(CU_pSuite s);
 void unit_sched(CU_pSuite s);
+void unit_workload(CU_pSuite s);
 
 #endif
