--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PLATFORM_OBJS = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(wildcard platform/*.c))
 LIB_OBJS   = $(foreach l,$(LAYERS),$(call layer_objs,$(l))) $(PLATFORM_OBJS)
 LIB        = $(BUILD)/libdamaskpath.a
-BINS       = $(BUILD)/damaskpathd $(BUILD)/damaskpath $(BUILD)/standin-store $(BUILD)/standin-upstream
+BINS       = $(BUILD)/damaskpathd $(BUILD)/damaskpath $(BUILD)/standin-store $(BUILD)/standin-upstream $(BUILD)/standin-platform
 
 all: $(BINS)
 
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -118,7 +118,7 @@
 	U32(wl_report, memory_mb),
 	U32(wl_report, accelerators),
 	BOOL(wl_report, draining),
-	U32(wl_report, drain_remaining_ms),
+	U32(wl_report, leaves_in_ms),
 	BOOL(wl_report, left),
 	U64(wl_report, covers),
 	LIST(wl_report, runs, wl_run),
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -168,9 +168,9 @@
 	n->left = r->left;
 	if (r->draining && !n->draining)
 		event_log(EV_WORKER_DRAIN, "node=%s life=%s remaining_ms=%u", n->name, r->life,
-			r->drain_remaining_ms);
+			r->leaves_in_ms);
 	n->draining = r->draining;
-	n->drain_until = now + (int64_t)r->drain_remaining_ms * NSEC_PER_MSEC;
+	n->drain_until = now + (int64_t)r->leaves_in_ms * NSEC_PER_MSEC;
 }
 
 /* Process the ends that are new, and note when each will be stored. */
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -197,7 +197,7 @@
 	uint32_t memory_mb;
 	uint32_t accelerators;
 	bool draining;
-	uint32_t drain_remaining_ms;
+	uint32_t leaves_in_ms;
 	bool left;
 	/* Starts whose answers the agent had when it asked for these lists. */
 	uint64_t covers;
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -385,7 +385,7 @@
 		.cores_m = 32000,
 		.memory_mb = 64000,
 		.draining = true,
-		.drain_remaining_ms = 1000,
+		.leaves_in_ms = 1000,
 		.runs = &run,
 		.runs_len = 1};
 
