workload, entry: checkpoints outlive the processes; Retry-After grows with an outage

Change: what runs have saved is stored at most every 2 s a job; Retry-After is as long as the outage has lasted, 1 to 4 s.

--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -22,8 +22,9 @@
 #define FIRST_PATIENCE (350 * NSEC_PER_MSEC)
 #define AGAIN_PATIENCE (600 * NSEC_PER_MSEC)
 /* A store that has answered nothing for so long is taken to be down. */
-#define STORE_SILENCE (600 * NSEC_PER_MSEC)
-#define RETRY_AFTER_S 1
+#define STORE_SILENCE	  (600 * NSEC_PER_MSEC)
+#define RETRY_AFTER_S	  1
+#define RETRY_AFTER_MAX_S 4
 /* The depth of the queues is counted again after this. */
 #define DEPTH_MAX_AGE (700 * NSEC_PER_MSEC)
 
@@ -56,11 +57,22 @@
 	call_free(c);
 }
 
+/*
+ * Seconds that an outage of the store has lasted: it is likely to go on for as long again, and
+ * callers come back only a few times.
+ */
+static int outage_s(const struct wl_entry *e)
+{
+	int64_t age = config_feed_age(e->feed);
+
+	return age == INT64_MAX ? 1 : (int)MIN(age / NSEC_PER_SEC, RETRY_AFTER_MAX_S);
+}
+
 /* Refuse with a reason, and the time after which to come again where that helps. */
 void entry_call_deny(struct entry_call *c, int status, int retry_after_s, const char *reason)
 {
 	AUTOFREE char *body = NULL;
-	g_autofree char *after = g_strdup_printf("%d", retry_after_s);
+	g_autofree char *after = NULL;
 
 	event_log(EV_DENY, "path=%s status=%d reason=\"%s\" config_age_ms=%" PRId64, c->path,
 		status, reason,
@@ -68,6 +80,8 @@
 	if (c->kind == PF_CALL_SUBMIT)
 		counter_add(status == 504 ? &unsure_total : &refused_total, 1);
 	if (retry_after_s > 0)
+		after = g_strdup_printf("%d", MAX(retry_after_s, outage_s(c->entry)));
+	if (after != NULL)
 		http_reply_header(c->request, "Retry-After", after);
 	xasprintf(&body, "{\"reason\":\"%s\"}", reason);
 	answer(c, status, body);
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -230,6 +230,16 @@
 	n->wl->out.stop(n->wl->out.arg, n->name, &o);
 }
 
+/* Note what a run has saved: it has to outlive this process, but not at once. */
+static void take_checkpoint(struct wl_task *t, const char *checkpoint)
+{
+	if (checkpoint == NULL || *checkpoint == '\0' || !t->unit->step->checkpoints ||
+		strcmp(checkpoint, t->checkpoint) == 0)
+		return;
+	g_strlcpy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
+	t->unit->job->checkpoints_due = true;
+}
+
 /* Bring the runs that the worker lists in line with the tasks. */
 static void take_runs(struct wl_node *n, int64_t now, const struct wl_report *r)
 {
@@ -256,9 +266,7 @@
 		t->seen = n->serial;
 		task_progress(t, now, run->percent);
 		t->figure = run->figure;
-		if (run->checkpoint != NULL && *run->checkpoint != '\0' &&
-			t->unit->step->checkpoints)
-			g_strlcpy(t->checkpoint, run->checkpoint, sizeof(t->checkpoint));
+		take_checkpoint(t, run->checkpoint);
 		if (t->phase == TASK_STOPPING ||
 			(t->phase == TASK_DONE && !t->unit->step->gang))
 			task_stop(t, now, "still listed", NULL);
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -8,6 +8,8 @@
 #define SPREAD_AFTER 0.5
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
+/* Checkpoints of a job are stored at most so often; all jobs share one write. */
+#define CHECKPOINT_PERIOD (2 * NSEC_PER_SEC)
 /* Work with more than this share of its objective to spare leaves the headroom alone. */
 #define PATIENT_SHARE 0.25
 /* A job that takes so many times its objective is of no use to its caller any more. */
@@ -248,6 +250,16 @@
 	}
 }
 
+/* Have what runs have saved stored, now and then: a whole fleet may lose power. */
+static void store_checkpoints(struct wl_job *j, int64_t now)
+{
+	if (!j->checkpoints_due || now - j->checkpoints_at < CHECKPOINT_PERIOD)
+		return;
+	j->checkpoints_due = false;
+	j->checkpoints_at = now;
+	job_dirty(j);
+}
+
 /* Place what can be placed. */
 int64_t wl_pass(struct wl *w, int64_t now, int64_t wall)
 {
@@ -267,6 +279,7 @@
 		if (wl_state_ended(j->state))
 			continue;
 		job_open_due(j, now, wall);
+		store_checkpoints(j, now);
 		due = job_next_due(j);
 		if (due > 0)
 			next = MIN(next, MAX(due - wall, NSEC_PER_MSEC));
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -94,6 +94,9 @@
 	uint32_t occurrences_done;
 	uint64_t version;
 	uint64_t stored;
+	/* Newer checkpoints of runs are known than the store has, and when it was told last. */
+	bool checkpoints_due;
+	int64_t checkpoints_at;
 	/* Terms of the queue, as the newest configuration that has it says. */
 	uint32_t priority;
 	uint32_t attempts_max;
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -373,6 +373,41 @@
 	bed_close(&b);
 }
 
+/* Pattern: all lose power; what runs had saved is in the store by then. */
+static void test_checkpoints_outlive(void)
+{
+	struct bed b;
+	struct wl_run run = {.task = (char *)"0000000000000001.0.0.0",
+		.attempt = 1,
+		.checkpoint = (char *)"00ab"};
+	struct wl_step step = {
+		.count = 1, .accelerators = 1, .estimate_ms = 9000, .checkpoints = true};
+	struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = &step,
+		.steps_len = 1};
+	struct wl_progress p = {0};
+	struct bytes stored;
+	uint64_t version;
+
+	bed_open(&b);
+	report(&b, "w1", NULL, 0, NULL, 0);
+	wl_job_add(b.wl, b.now, b.now, &spec, NULL);
+	pass(&b);
+	report(&b, "w1", &run, 1, NULL, 0);
+	b.store_down = true;
+	pass(&b);
+	CU_ASSERT_EQUAL(b.dirty->len, 1);
+	stored = wl_job_progress(b.wl, spec.id, &version);
+	CU_ASSERT_TRUE(fields_decode(&wl_progress_fields, &p, stored.data, stored.len, NULL));
+	CU_ASSERT_EQUAL_FATAL(p.marks_len, 1);
+	CU_ASSERT_STRING_EQUAL(p.marks[0].checkpoint, "00ab");
+	fields_clear(&wl_progress_fields, &p);
+	bytes_clear(&stored);
+	bed_close(&b);
+}
+
 /* A leaving worker gets nothing new, and what cannot end there in time moves. */
 static void test_leaving(void)
 {
@@ -493,6 +528,7 @@
 	CU_add_test(s, "a takeover waits for silent nodes only", test_held_after_takeover);
 	CU_add_test(s, "ends are forgotten once stored", test_ends_after_store);
 	CU_add_test(s, "failures are counted once", test_failures);
+	CU_add_test(s, "checkpoints outlive the processes", test_checkpoints_outlive);
 	CU_add_test(s, "a leaving worker is emptied", test_leaving);
 	CU_add_test(s, "jobs of the platform are read", test_platform_reads);
 	CU_add_test(s, "the platform's configuration is read", test_platform_config);
