--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -48,7 +48,7 @@
 {
 	fprintf(out, "usage: damaskpathd ROLE [--SETTING=VALUE ...]\n"
 		     "       damaskpathd ROLE --help | --check [...]\n"
-		     "       damaskpathd --version\n\nroles:\n");
+		     "       damaskpathd --version | --events\n\nroles:\n");
 	for (size_t i = 0; i < ARRAY_LEN(roles); i++)
 		fprintf(out, "  %-12s %s\n", roles[i].name, roles[i].help);
 }
@@ -224,6 +224,10 @@
 		printf("damaskpathd %s\n", DP_VERSION);
 		return 0;
 	}
+	if (argc > 1 && strcmp(argv[1], "--events") == 0) {
+		event_help(stdout);
+		return 0;
+	}
 	if (argc > 1 && strcmp(argv[1], "--help") == 0) {
 		print_usage(stdout);
 		return 0;
