workload: units wait for their rack in proportion to what they lose elsewhere

Change: a unit leaves its rack where that cannot hold it, after half of the time that it loses elsewhere, or where its guarantee is due.

--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -134,7 +134,7 @@
 	g_autoptr(GArray) trial = g_array_new(FALSE, FALSE, sizeof(struct kept));
 	int64_t first = INT64_MAX;
 
-	if (u->step->rack_local && !anywhere) {
+	if (u->step->rack_local && u->step->data_rack == NULL && !anywhere) {
 		for (guint i = 0; i < w->nodes->len; i++) {
 			const struct wl_node *n = w->nodes->pdata[i];
 			int64_t at = plan_keep(w, u, now, n->rack, trial);
@@ -148,7 +148,7 @@
 			}
 		}
 	} else {
-		first = plan_keep(w, u, now, NULL, best);
+		first = plan_keep(w, u, now, anywhere ? NULL : u->step->data_rack, best);
 	}
 	for (guint i = 0; first != INT64_MAX && i < best->len; i++) {
 		const struct kept *k = &g_array_index(best, struct kept, i);
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -4,8 +4,6 @@
 
 /* How many units that find no place may keep room for themselves, in order. */
 #define RESERVATIONS_MAX 3
-/* A rack-local unit spreads over racks once it has waited this share of its run time. */
-#define SPREAD_AFTER 0.5
 /* A gang whose members cannot all be found is started again after this. */
 #define GANG_STALL (2 * NSEC_PER_SEC)
 /* Checkpoints of a job are stored at most so often; all jobs share one write. */
@@ -194,21 +192,13 @@
 	}
 }
 
-/* Whether a rack-local unit may spread over racks now. */
-static bool may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
-{
-	return !u->step->rack_local || !rack_feasible(w, u) ||
-	       now - u->ready_at >
-		       (int64_t)(SPREAD_AFTER * (double)step_estimate(u->job, u->step));
-}
-
 /* Try one kind of room; the plan is kept where it places enough. */
 static bool try_place(
 	struct wl *w, struct wl_unit *u, int64_t now, enum plan_room room, GArray *plan)
 {
 	if (place_unit(w, u, now, room, false, plan) > 0)
 		return true;
-	return u->step->rack_local && may_spread(w, u, now) &&
+	return unit_is_local(u) && unit_may_spread(w, u, now) &&
 	       place_unit(w, u, now, room, true, plan) > 0;
 }
 
@@ -246,7 +236,7 @@
 	}
 	if (*reservations < RESERVATIONS_MAX) {
 		(*reservations)++;
-		keep_room(w, u, now, may_spread(w, u, now));
+		keep_room(w, u, now, unit_may_spread(w, u, now));
 	}
 }
 
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -1,5 +1,9 @@
 #include "wl-private.h"
 
+/* Of the time that a unit loses off its rack, it waits so much for a place there. */
+#define SPREAD_SHARE 0.5
+/* What a guaranteed start takes besides stopping others: two messages and a write. */
+#define RECLAIM_MARGIN (900 * NSEC_PER_MSEC)
 /* A worker with more than this held against it is taken only when no other fits. */
 #define STRIKES_AVOID 0.7
 
@@ -261,9 +265,9 @@
 	guint from = out->len;
 	uint32_t placed;
 
-	if (u->step->rack_local && !anywhere)
+	if (u->step->rack_local && u->step->data_rack == NULL && !anywhere)
 		return place_in_rack(w, u, now, which, out);
-	placed = place_tasks(w, u, now, which, NULL, out);
+	placed = place_tasks(w, u, now, which, anywhere ? NULL : u->step->data_rack, out);
 	if (u->step->gang && placed < u->waiting) {
 		plan_undo(out, from, which);
 		return 0;
@@ -288,6 +292,9 @@
 	for (guint i = 0; i < racks->len; i++) {
 		uint64_t fit = 0;
 
+		if (u->step->data_rack != NULL &&
+			strcmp(u->step->data_rack, racks->pdata[i]) != 0)
+			continue;
 		for (guint k = 0; k < w->nodes->len; k++) {
 			const struct wl_node *n = w->nodes->pdata[k];
 			uint64_t here = u->step->count;
@@ -306,8 +313,29 @@
 				here = MIN(here, u->step->per_worker_max);
 			fit += here;
 		}
-		if (fit >= u->step->count)
+		if (fit >= (u->step->gang || u->step->rack_local ? u->step->count : 1))
 			return true;
 	}
 	return false;
 }
+
+/* Whether it matters in which rack the tasks of a unit run. */
+bool unit_is_local(const struct wl_unit *u)
+{
+	return u->step->rack_local || u->step->data_rack != NULL;
+}
+
+/*
+ * Whether a unit may leave its rack now: where that cannot hold it, where it has waited as long
+ * as a share of the time that it loses elsewhere, or where its guarantee is due.
+ */
+bool unit_may_spread(const struct wl *w, const struct wl_unit *u, int64_t now)
+{
+	int64_t waited = now - u->ready_at;
+	double lost = (w->limits.remote_penalty - 1) * (double)step_estimate(u->job, u->step);
+
+	if (!unit_is_local(u) || !rack_feasible(w, u) || (double)waited > SPREAD_SHARE * lost)
+		return true;
+	return waited > w->limits.reclaim_max - w->limits.stop_max - RECLAIM_MARGIN &&
+	       unit_entitled(w, u);
+}
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -227,6 +227,8 @@
 bool spread_allows(const struct wl_unit *u, const struct wl_node *n, const GArray *plan);
 void plan_undo(GArray *plan, guint from, enum plan_room which);
 bool rack_feasible(const struct wl *w, const struct wl_unit *u);
+bool unit_is_local(const struct wl_unit *u);
+bool unit_may_spread(const struct wl *w, const struct wl_unit *u, int64_t now);
 
 /* wl-headroom.c */
 void headroom_note_job(struct wl *w, const struct wl_job *j);
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -284,9 +284,13 @@
 	struct claim c = {.victims = g_ptr_array_new(), .entitled = entitled};
 	g_autoptr(GPtrArray) victims = c.victims;
 	guint from = plan->len;
-	bool ok = u->step->rack_local && claim_in_rack(w, u, now, &c, plan);
+	bool ok = false;
 
-	if (!ok) {
+	if (u->step->data_rack != NULL)
+		ok = claim_all(w, u, now, u->step->data_rack, &c, plan);
+	else if (u->step->rack_local)
+		ok = claim_in_rack(w, u, now, &c, plan);
+	if (!ok && unit_may_spread(w, u, now)) {
 		claim_undo(&c, plan, from);
 		ok = claim_all(w, u, now, NULL, &c, plan);
 	}
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -266,6 +266,41 @@
 	bed_close(&b);
 }
 
+/* Pattern: data on a full rack; running elsewhere at once would take three times as long. */
+static void test_waits_for_rack(void)
+{
+	struct bed b;
+	struct wl_step step = {
+		.count = 1, .accelerators = 8, .estimate_ms = 2000, .data_rack = (char *)"r1"};
+	struct wl_spec spec = {.id = (char *)"0000000000000002",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = &step,
+		.steps_len = 1};
+	struct wl_report other = {.node = (char *)"w2",
+		.life = (char *)"w2@1",
+		.service = (char *)"s",
+		.rack = (char *)"r2",
+		.cores_m = 32000,
+		.memory_mb = 64000,
+		.accelerators = 8};
+
+	bed_open(&b);
+	report(&b, "w1", NULL, 0, NULL, 0);
+	submit(&b, 1, "batch", 1, 8, 9000, false);
+	pass(&b);
+	wl_node_report(b.wl, b.now, b.now, &other);
+	wl_job_add(b.wl, b.now, b.now, &spec, NULL);
+	pass(&b);
+	CU_ASSERT_EQUAL(b.starts, 1);
+	/* Half of the 4 s that it loses elsewhere are over. */
+	b.now += 2100 * MS;
+	pass(&b);
+	CU_ASSERT_EQUAL(b.starts, 2);
+	CU_ASSERT_STRING_EQUAL(b.last_node, "w2");
+	bed_close(&b);
+}
+
 /* A gang starts whole or not at all. */
 static void test_gang_whole(void)
 {
@@ -524,6 +559,7 @@
 	CU_add_test(s, "headroom for urgent work", test_headroom);
 	CU_add_test(s, "a guarantee is reclaimed", test_reclaim);
 	CU_add_test(s, "room is kept for a large task", test_room_is_kept);
+	CU_add_test(s, "a unit waits for its rack", test_waits_for_rack);
 	CU_add_test(s, "a gang starts whole", test_gang_whole);
 	CU_add_test(s, "a takeover waits for silent nodes only", test_held_after_takeover);
 	CU_add_test(s, "ends are forgotten once stored", test_ends_after_store);
