--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -10,6 +10,8 @@
 #define CHECKPOINT_PERIOD (2 * NSEC_PER_SEC)
 /* Work with more than this share of its objective to spare leaves the headroom alone. */
 #define PATIENT_SHARE 0.25
+/* No work waits longer than this because of the headroom: a full queue needs every worker. */
+#define HEADROOM_WAIT (3 * NSEC_PER_SEC)
 /* A job that takes so many times its objective is of no use to its caller any more. */
 #define LATE_FACTOR 3
 /* Room is made for an urgent unit so long before it is too late. */
@@ -283,7 +285,8 @@
 			headroom_choose(w);
 			chosen = true;
 		}
-		w->may_use_headroom = c->unit->job->priority == 0 || c->tier > 0 || !c->patient;
+		w->may_use_headroom = c->unit->job->priority == 0 || c->tier > 0 ||
+				      !c->patient || now - c->unit->ready_at > HEADROOM_WAIT;
 		decide(w, c, now, &reservations);
 	}
 	return order->len > 0 ? MIN(next, 100 * NSEC_PER_MSEC) : next;
