--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -250,6 +250,33 @@
 		granted, a);
 }
 
+/* The key of our last life is gone, or another agent was faster. */
+static void cleared(const struct kv_result *r, void *arg)
+{
+	struct wl_agent *a = arg;
+
+	a->asking = false;
+	if (r->status == KV_OK)
+		campaign(a);
+}
+
+/*
+ * The coordinator that the store names was this agent in an earlier life, so it is dead: its
+ * key is removed rather than waited for.
+ */
+static void clear_last_life(struct wl_agent *a, int64_t lead_revision)
+{
+	struct kv_txn t = {.expect_len = 1, .remove_len = 1};
+
+	if (a->stopping)
+		return;
+	t.expect[0] = (struct kv_expect){KEY_LEAD, lead_revision};
+	t.remove[0] = KEY_LEAD;
+	a->asking = true;
+	a->asked = now_of(a);
+	kv_commit(a->p->kv, &t, cleared, a);
+}
+
 /* The store says who coordinates. */
 static void lead_read(const struct kv_result *r, void *arg)
 {
@@ -262,8 +289,10 @@
 
 		a->campaign_at = 0;
 		a->lease = 0;
-		if (strcmp(addr, a->addr) == 0 && a->coord == NULL)
-			return; /* of our last life: it runs out */
+		if (strcmp(addr, a->addr) == 0 && a->coord == NULL) {
+			clear_last_life(a, r->items[0].revision);
+			return;
+		}
 		if (a->state == LINK_OPEN && g_strcmp0(a->lead, addr) == 0)
 			return;
 		if (a->state != LINK_DIALLING || g_strcmp0(a->lead, addr) != 0)
