workload, agent: a start without an answer is made void before its task moves

Run 258 had started, then run 257 did, 1.2 s later, on the same worker: the agent that had sent 257 without an answer was restarted, its next process knew nothing of it, the coordinator took the task for missing and placed it again. Ruled out: takeovers (there the worker has seen the higher fence by its first report). Change: a task whose start was never answered is not missing: the agent stops that attempt, and answers once a list that was asked for afterwards does not show it. Test that fails first: 'a start without an answer holds its task'.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -432,12 +432,45 @@
 	free(wc);
 }
 
+/*
+ * Make a start void that an earlier process of ours may have sent, or that never came: once the
+ * stop is answered it cannot begin, and the next lists show whether it has.
+ */
+static void void_start(struct wl_worker *w, const struct wl_stop_order *o)
+{
+	struct open_start *s;
+
+	for (guint i = 0; i < w->open->len; i++) {
+		if (((struct open_start *)w->open->pdata[i])->ordinal == o->ordinal)
+			return;
+	}
+	s = xcalloc(1, sizeof(*s));
+	s->worker = w;
+	s->ordinal = o->ordinal;
+	s->term = o->term;
+	s->life = xstrdup(o->life);
+	s->task = xstrdup(o->task);
+	s->attempt = o->attempt;
+	s->sent = now_of(w);
+	s->unsure = true;
+	s->calling = true;
+	g_ptr_array_add(w->open, s);
+	send_call(w,
+		pf_worker_stop(
+			w->p->settings.worker_addr, w->beat.id, w->term, o->task, o->attempt),
+		s, void_done);
+}
+
 /* Stop a run; the coordinator asks again where it goes on. */
 void wl_worker_stop(struct wl_worker *w, const struct wl_stop_order *o)
 {
 	if (o->term != w->term || w->life == NULL || g_strcmp0(o->life, w->life) != 0)
 		return;
 	counter_add(&stops_total, 1);
+	if (o->ordinal != 0) {
+		void_start(w, o);
+		return;
+	}
 	send_call(w,
 		pf_worker_stop(
 			w->p->settings.worker_addr, w->beat.id, w->term, o->task, o->attempt),
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -149,6 +149,7 @@
 	TEXT(wl_stop_order, life),
 	TEXT(wl_stop_order, task),
 	U32(wl_stop_order, attempt),
+	U64(wl_stop_order, ordinal),
 };
 static const struct field_table wl_stop_order_fields = TABLE(wl_stop_order);
 
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -280,9 +280,12 @@
 
 	while (t != NULL) {
 		struct wl_task *next = TAILQ_NEXT(t, on_node);
+		bool missing = t->seen != n->serial && t->phase != TASK_PLACED &&
+			       t->ordinal <= r->covers;
 
-		if (t->seen != n->serial && t->phase != TASK_PLACED &&
-			t->ordinal <= r->covers) {
+		if (missing && t->running_at == 0) {
+			task_void(t, now);
+		} else if (missing) {
 			struct wl_unit *u = t->unit;
 
 			event_log(EV_TASK_END,
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -190,6 +190,7 @@
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt);
 void task_detach(struct wl_task *t, int64_t now);
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *for_whom);
+void task_void(struct wl_task *t, int64_t now);
 void task_run(struct wl_task *t, int64_t now);
 void wl_run_ended(
 	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -110,6 +110,30 @@
 	t->unit->job->wl->out.stop(t->unit->job->wl->out.arg, t->node->name, &o);
 }
 
+/*
+ * A start that was never answered does not show in the lists: it may still be carried out. The
+ * agent makes it void and answers; until then its room is held and the task runs nowhere else.
+ */
+void task_void(struct wl_task *t, int64_t now)
+{
+	AUTOFREE char *name = NULL;
+	struct wl_stop_order o;
+
+	if (t->stop_sent != 0 && now - t->stop_sent < STOP_AGAIN)
+		return;
+	t->stop_sent = now;
+	name = task_name(t);
+	o = (struct wl_stop_order){.term = t->unit->job->wl->term,
+		.life = t->node->life,
+		.task = name,
+		.attempt = t->attempt,
+		.ordinal = t->ordinal};
+	event_log(EV_TASK_STOP,
+		"task=%s attempt=%u node=%s why=\"its start was not answered\" for=-", name,
+		t->attempt, t->node->name);
+	t->unit->job->wl->out.stop(t->unit->job->wl->out.arg, t->node->name, &o);
+}
+
 /* Stop all runs of a unit. */
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *for_whom)
 {
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -229,6 +229,8 @@
 	char *life;
 	char *task;
 	uint32_t attempt;
+	/* Of a start that was never answered: its number, to be answered once it is void. */
+	uint64_t ordinal;
 };
 struct wl_pace_order {
 	uint64_t term;
--- a/tests/property/prop-workload.cc
+++ b/tests/property/prop-workload.cc
@@ -473,6 +473,18 @@
 				it->second.stop_at = w->now + 400 * MS;
 			}
 			k.highest[m.stop.task] = std::max(k.highest[m.stop.task], m.stop.attempt);
+			if (m.stop.ordinal != 0 && !k.runs.count(m.stop.task) && c != nullptr &&
+				!c->dead && w->now >= k.cut_until) {
+				wl_answer_note note{};
+
+				note.term = m.stop.term;
+				note.life = m.stop.life;
+				note.ordinal = m.stop.ordinal;
+				note.task = m.stop.task;
+				note.attempt = m.stop.attempt;
+				note.answer = WL_ANSWER_REFUSED_OTHER;
+				wl_node_answer(c->core, w->now, &note);
+			}
 		}
 		wl_msg_clear(&m);
 	}
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -371,6 +371,35 @@
 	bed_close(&b);
 }
 
+/*
+ * Pattern: an agent restarts with a start under way that its worker carries out late. Without a
+ * word on that start the task may run nowhere else, and its room stays taken.
+ */
+static void test_unanswered_start(void)
+{
+	struct bed b;
+	struct wl_answer_note note = {.life = (char *)"w1@1",
+		.task = (char *)"0000000000000001.0.0.0",
+		.attempt = 1,
+		.answer = WL_ANSWER_REFUSED_OTHER};
+
+	bed_open(&b);
+	report(&b, "w1", NULL, 0, NULL, 0);
+	submit(&b, 1, "urgent", 1, 8, 1000, false);
+	pass(&b);
+	CU_ASSERT_EQUAL(b.starts, 1);
+	note.ordinal = b.ordinal;
+	report(&b, "w1", NULL, 0, NULL, 0);
+	pass(&b);
+	CU_ASSERT_EQUAL(b.starts, 1);
+	CU_ASSERT_EQUAL(b.stops, 1);
+	wl_node_answer(b.wl, b.now, &note);
+	b.now += SEC;
+	pass(&b);
+	CU_ASSERT_EQUAL(b.starts, 2);
+	bed_close(&b);
+}
+
 /* A task that fails as often as it may ends its job; one failure listed twice counts once. */
 static void test_failures(void)
 {
@@ -563,6 +592,7 @@
 	CU_add_test(s, "a gang starts whole", test_gang_whole);
 	CU_add_test(s, "a takeover waits for silent nodes only", test_held_after_takeover);
 	CU_add_test(s, "ends are forgotten once stored", test_ends_after_store);
+	CU_add_test(s, "a start without an answer holds its task", test_unanswered_start);
 	CU_add_test(s, "failures are counted once", test_failures);
 	CU_add_test(s, "checkpoints outlive the processes", test_checkpoints_outlive);
 	CU_add_test(s, "a leaving worker is emptied", test_leaving);
