daemon: one guard for orders to the worker, a clearer name, a field that nothing used

Cause: read as a newcomer: the check whether an order is for us stood three times in wl-worker.c, record_writer_has_node_set() did not say what it does, entry_call had a field without a use. Change: is_for_us(), record_writer_node_found(); behaviour and checks are unchanged.

--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -157,7 +157,7 @@
 }
 
 /* A node's record was found in the store. */
-void record_writer_has_node_set(struct record_writer *r, const char *name)
+void record_writer_node_found(struct record_writer *r, const char *name)
 {
 	struct node_record *n = node_record_get(r, name);
 
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -650,7 +650,7 @@
 	for (size_t i = 0; i < r->items_len; i++) {
 		const char *node = r->items[i].key + strlen(KEY_NODE);
 
-		record_writer_has_node_set(c->records, node);
+		record_writer_node_found(c->records, node);
 		wl_node_expect(c->wl, loop_now(c->p->loop), node);
 	}
 	if (r->more && r->items_len > 0)
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -63,7 +63,6 @@
 	int64_t deadline;
 	unsigned int tries;
 	bool unsure;
-	bool retried_cancel;
 };
 struct wl_entry {
 	struct wl_process *p;
@@ -111,7 +110,7 @@
 void record_writer_remove(struct record_writer *r, const char *id);
 void record_writer_node(struct record_writer *r, const char *node, bool present);
 bool record_writer_has_node(const struct record_writer *r, const char *node);
-void record_writer_has_node_set(struct record_writer *r, const char *node);
+void record_writer_node_found(struct record_writer *r, const char *node);
 bool record_writer_idle(const struct record_writer *r);
 
 /* wl-agent.c */
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -390,12 +390,17 @@
 	free(wc);
 }
 
+/* Whether an order is of the coordinator that we follow and for this life of the worker. */
+static bool is_for_us(const struct wl_worker *w, uint64_t term, const char *life)
+{
+	return term == w->term && w->life != NULL && g_strcmp0(life, w->life) == 0;
+}
+
 /* Start tasks; one for another life or without authority is refused here. */
 void wl_worker_start(struct wl_worker *w, const struct wl_start_order *o)
 {
 	int64_t deadline = lease_deadline(w);
-	bool ours = o->term == w->term && w->life != NULL && o->life != NULL &&
-		    strcmp(o->life, w->life) == 0;
+	bool ours = is_for_us(w, o->term, o->life);
 
 	for (uint32_t i = 0; i < o->starts_len; i++) {
 		struct open_start *s = xcalloc(1, sizeof(*s));
@@ -464,7 +469,7 @@
 /* Stop a run; the coordinator asks again where it goes on. */
 void wl_worker_stop(struct wl_worker *w, const struct wl_stop_order *o)
 {
-	if (o->term != w->term || w->life == NULL || g_strcmp0(o->life, w->life) != 0)
+	if (!is_for_us(w, o->term, o->life))
 		return;
 	counter_add(&stops_total, 1);
 	if (o->ordinal != 0) {
@@ -480,7 +485,7 @@
 /* Let a run work slower or at full speed again. */
 void wl_worker_pace(struct wl_worker *w, const struct wl_pace_order *o)
 {
-	if (o->term != w->term || w->life == NULL || g_strcmp0(o->life, w->life) != 0)
+	if (!is_for_us(w, o->term, o->life))
 		return;
 	send_call(w,
 		pf_worker_pace(w->p->settings.worker_addr, w->beat.id, w->term, o->task,
