--- a/packages/coordination/coord.c
+++ b/packages/coordination/coord.c
@@ -198,8 +198,8 @@
 	return false;
 }
 
-/* How many jobs have been sent to agents and have not ended. */
-size_t coord_running(const struct coord *c)
+/* How many jobs agents still wait for: they have not ended, or their end is not stored yet. */
+size_t coord_open_jobs(const struct coord *c)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -209,7 +209,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct coord_job *j = value;
 
-		n += j->dispatched && !j->ended;
+		n += (j->dispatched && !j->ended) || j->acks->len > 0;
 	}
 	return n;
 }
--- a/packages/coordination/coord.h
+++ b/packages/coordination/coord.h
@@ -30,7 +30,7 @@
 void coord_run(struct coord *c, int64_t now);
 size_t coord_return_waiting(struct coord *c);
 bool coord_has_successor(struct coord *c, const char *self);
-size_t coord_running(const struct coord *c);
+size_t coord_open_jobs(const struct coord *c);
 
 /* Job records that wait to be written; the owner writes them and reports. */
 struct coord_batch {
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -170,7 +170,8 @@
 
 /*
  * While stopping as the coordinator: let another agent coordinate once the entries have their
- * jobs back. Where no other agent takes work, go on until all that runs has been reported.
+ * jobs back. Where no other agent takes work, go on until all that runs has been reported and
+ * stored.
  */
 static void tick_hand_over(struct agent *a, int64_t now)
 {
@@ -180,7 +181,7 @@
 	if (coord_return_waiting(a->host.coord) > 0)
 		return;
 	if (!coord_has_successor(a->host.coord, a->name) &&
-		(coord_running(a->host.coord) > 0 || agent_core_unacked(a->core) > 0))
+		(coord_open_jobs(a->host.coord) > 0 || agent_core_unacked(a->core) > 0))
 		return;
 	host_release(a);
 	host_step_down(a, "this process is stopping");
@@ -271,6 +272,13 @@
 	       agent_core_unacked(a->core) == 0;
 }
 
+/* What keeps a stopping agent from ending, for the log. */
+char *agent_busy_with(const struct agent *a)
+{
+	return g_strdup_printf("coordinates=%d running=%zu unacknowledged=%zu",
+		a->host.coord != NULL, agent_core_live(a->core), agent_core_unacked(a->core));
+}
+
 /* Stop at once. */
 void agent_free(struct agent *a)
 {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -27,6 +27,8 @@
 struct agent *agent_new(struct process *p, GError **err);
 void agent_stop(struct agent *a);
 bool agent_idle(const struct agent *a);
+/* What keeps a stopping agent from ending, for the log; freed by the caller. */
+char *agent_busy_with(const struct agent *a);
 void agent_free(struct agent *a);
 const char *agent_http_addr(const struct agent *a);
 
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -73,7 +73,11 @@
 	if (!idle && loop_now(p->process.loop) < p->stop_at)
 		return;
 	if (!idle) {
-		log_warning("main", "The limit for stopping has passed with work in flight.");
+		g_autofree char *why =
+			p->agent != NULL ? agent_busy_with(p->agent) : g_strdup("callers");
+
+		log_warning("main", "The limit for stopping has passed with work in flight. %s",
+			why);
 		p->exit_code = 1;
 	}
 	loop_stop(p->process.loop);
