workload, standin: an order without an answer is sent again to its worker

A gang of 21 members loses one nearly always; its start was made void after 1.3 s, the whole gang stopped and started anew, often more than once ("a member of the gang was refused"). Ruled out: refusals by the worker itself (no answer came), a worker out of reach. Change: the agent sends a start or a stop up to three times; a worker that has the run answers 200, one that has stopped or ended it refuses it, so that twice has the effect of once. A start is not sent again behind its own stop. The stand-in carries orders out late and refuses attempts that it has ended. Test: regress/platform (a start gets no answer; before: one of two members was never started).

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -31,6 +31,8 @@
 EVENT(EV_TASK_START, "task-start", "task attempt node checkpoint waited_ms",
 	"a task was placed")
 EVENT(EV_TASK_RUN, "task-run", "task attempt node answer", "a worker answered a start")
+EVENT(EV_START_UNSURE, "start-unsure", "task attempt sends again",
+	"a worker did not answer a start")
 EVENT(EV_TASK_END, "task-end", "task attempt node how saved", "a run has ended")
 EVENT(EV_TASK_STOP, "task-stop", "task attempt node why for", "a run is stopped")
 EVENT(EV_TASK_PACE, "task-pace", "task node percent why", "a filler is slowed or released")
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -21,6 +21,8 @@
 #define HOLD_PAUSE (250 * NSEC_PER_MSEC)
 /* Time for ends to be stored before the lists are asked for again. */
 #define STORE_WAIT (150 * NSEC_PER_MSEC)
+/* An order without an answer is sent so often: carried out twice it has the effect of one. */
+#define ORDER_SENDS_MAX 3
 /* A start without an answer may still show in the lists; then it is made void. */
 #define UNSURE_PATIENCE (400 * NSEC_PER_MSEC)
 /* A worker that has not reported for so long is gone. */
@@ -34,6 +36,11 @@
 	char *life;
 	char *task;
 	uint32_t attempt;
+	/* What it is sent again with. */
+	char *payload;
+	char *checkpoint;
+	char *ticket;
+	unsigned int sends;
 	int64_t sent;
 	bool unsure;	    /* no answer came */
 	bool calling;	    /* a call for it is under way */
@@ -74,10 +81,18 @@
 
 static void hold(struct wl_worker *w);
 
+/* A stop on its way to the worker. */
+struct open_stop {
+	char *task;
+	uint32_t attempt;
+	unsigned int sends;
+};
+
 /* One call to the worker, with what its answer is for. */
 struct worker_call {
 	struct wl_worker *worker;
 	struct open_start *start;
+	struct open_stop *stop;
 	uint64_t term;
 };
 
@@ -124,6 +139,9 @@
 
 	free(s->life);
 	free(s->task);
+	free(s->payload);
+	free(s->checkpoint);
+	free(s->ticket);
 	free(s);
 }
 
@@ -363,6 +381,41 @@
 	return WL_ANSWER_REFUSED_OTHER;
 }
 
+static void start_done(struct http_call *c, void *arg);
+
+/* Send a start, for the first time or again: a worker that has the run says so. */
+static void start_send(struct wl_worker *w, struct open_start *s, int64_t deadline)
+{
+	const struct wl_start start = {.task = s->task,
+		.attempt = s->attempt,
+		.checkpoint = s->checkpoint,
+		.ticket = s->ticket};
+
+	counter_add(&starts_total, 1);
+	s->calling = true;
+	s->sends++;
+	s->sent = now_of(w);
+	send_call(w,
+		pf_worker_start(w->p->settings.worker_addr, w->beat.id, w->term, deadline,
+			s->payload, &start),
+		s, start_done);
+}
+
+/* No answer came: send the start again, or leave it to the lists. */
+static void start_unanswered(struct wl_worker *w, struct open_start *s)
+{
+	int64_t deadline = lease_deadline(w);
+	bool again = s->sends < ORDER_SENDS_MAX && deadline != 0 && s->term == w->term;
+
+	counter_add(&starts_unsure, 1);
+	event_log(EV_START_UNSURE, "task=%s attempt=%u sends=%u again=%d", s->task, s->attempt,
+		s->sends, again);
+	if (again)
+		start_send(w, s, deadline);
+	else
+		s->unsure = true;
+}
+
 /* The worker answered to a start, or not. */
 static void start_done(struct http_call *c, void *arg)
 {
@@ -378,8 +431,7 @@
 	if (s->dropped) {
 		open_free(s);
 	} else if (r.kind == PF_REPLY_NONE) {
-		counter_add(&starts_unsure, 1);
-		s->unsure = true;
+		start_unanswered(w, s);
 	} else {
 		open_answer(w, s, answer_of(r.kind));
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
@@ -411,19 +463,15 @@
 		s->life = xstrdup(o->life);
 		s->task = xstrdup(o->starts[i].task);
 		s->attempt = o->starts[i].attempt;
-		s->sent = now_of(w);
+		s->payload = xstrdup(o->payload);
+		s->checkpoint = xstrdup(o->starts[i].checkpoint);
+		s->ticket = xstrdup(o->starts[i].ticket);
 		g_ptr_array_add(w->open, s);
 		w->last_ordinal = MAX(w->last_ordinal, s->ordinal);
-		if (!ours || deadline == 0) {
+		if (!ours || deadline == 0)
 			open_answer(w, s, WL_ANSWER_REFUSED_OTHER);
-			continue;
-		}
-		counter_add(&starts_total, 1);
-		s->calling = true;
-		send_call(w,
-			pf_worker_start(w->p->settings.worker_addr, w->beat.id, w->term,
-				deadline, o->payload, &o->starts[i]),
-			s, start_done);
+		else
+			start_send(w, s, deadline);
 	}
 }
 
@@ -466,20 +514,64 @@
 		s, void_done);
 }
 
+static void stop_done(struct http_call *c, void *arg);
+
+/* Send a stop, for the first time or again. */
+static void stop_send(struct wl_worker *w, struct open_stop *s)
+{
+	struct http_call *c = pf_worker_stop(
+		w->p->settings.worker_addr, w->beat.id, w->term, s->task, s->attempt);
+
+	counter_add(&stops_total, 1);
+	s->sends++;
+	send_call(w, c, NULL, stop_done);
+	((struct worker_call *)c->arg)->stop = s;
+}
+
+/* The worker answered to a stop, or not; its effect shows in the lists. */
+static void stop_done(struct http_call *c, void *arg)
+{
+	struct worker_call *wc = arg;
+	struct wl_worker *w = wc->worker;
+	struct open_stop *s = wc->stop;
+	struct pf_reply r;
+
+	w->calls--;
+	pf_worker_read(c, &r);
+	if (r.kind == PF_REPLY_NONE && s->sends < ORDER_SENDS_MAX && wc->term == w->term &&
+		!w->freed) {
+		stop_send(w, s);
+	} else {
+		free(s->task);
+		free(s);
+	}
+	pf_reply_clear(&r);
+	http_call_free(c);
+	free(wc);
+}
+
 /* Stop a run; the coordinator asks again where it goes on. */
 void wl_worker_stop(struct wl_worker *w, const struct wl_stop_order *o)
 {
+	struct open_stop *s;
+
 	if (!is_for_us(w, o->term, o->life))
 		return;
-	counter_add(&stops_total, 1);
 	if (o->ordinal != 0) {
 		void_start(w, o);
 		return;
 	}
-	send_call(w,
-		pf_worker_stop(
-			w->p->settings.worker_addr, w->beat.id, w->term, o->task, o->attempt),
-		NULL, order_done);
+	/* A start that is under way is not sent again behind its stop. */
+	for (guint i = 0; i < w->open->len; i++) {
+		struct open_start *start = w->open->pdata[i];
+
+		if (start->attempt == o->attempt && strcmp(start->task, o->task) == 0)
+			start->sends = ORDER_SENDS_MAX;
+	}
+	s = xcalloc(1, sizeof(*s));
+	s->task = xstrdup(o->task);
+	s->attempt = o->attempt;
+	stop_send(w, s);
 }
 
 /* Let a run work slower or at full speed again. */
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -9,11 +9,13 @@
 /*
  * Stands in for the users' platform in tests: its store, and workers that run tasks under
  * leases. One process; all of it runs on one loop. POST /control on the store changes how it
- * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}; GET /control counts calls.
+ * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2}; GET
+ * /control counts calls.
  *
  * standin-platform STORE CONFIG WORKER=APP,CONTROL ...
  */
 
+#define LATE_BY_MS  2500 /* a late order is carried out after this */
 #define TICK	    (20 * NSEC_PER_MSEC)
 #define BEAT_PERIOD (300 * NSEC_PER_MSEC)
 #define LEASE_MAX   6000
@@ -45,6 +47,12 @@
 	int64_t left;
 	int64_t stop_at;
 };
+/* An order that gets no answer and is carried out later. */
+struct late_order {
+	struct worker *worker;
+	json_t *start;
+	int64_t at;
+};
 struct worker {
 	char *name;
 	char *app;
@@ -57,6 +65,7 @@
 	json_int_t fence;
 	json_int_t ended;
 	GPtrArray *runs;
+	GHashTable *highest; /* by task, the last attempt that was stopped or ended here */
 	json_t *finished;
 	unsigned int started;
 };
@@ -72,6 +81,8 @@
 static int64_t next_lease = 100;
 static bool down;
 static json_int_t drop_answers;
+static json_int_t late_orders;
+static GPtrArray *late;
 static unsigned int calls;
 
 static int64_t now_ms(void)
@@ -311,6 +322,7 @@
 	w->ended = 0;
 	w->lease_until = 0;
 	g_ptr_array_set_size(w->runs, 0);
+	g_hash_table_remove_all(w->highest);
 	json_array_clear(w->finished);
 	w->next_beat = 0;
 }
@@ -325,6 +337,8 @@
 		down = json_is_true(json_object_get(in, "down"));
 	if (json_object_get(in, "drop_answers") != NULL)
 		drop_answers = json_integer_value(json_object_get(in, "drop_answers"));
+	if (json_object_get(in, "late_orders") != NULL)
+		late_orders = json_integer_value(json_object_get(in, "late_orders"));
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
@@ -397,28 +411,40 @@
 	loop_post(loop, store_call, pack);
 }
 
+/* An attempt was stopped or has ended: no start up to it is carried out any more. */
+static void note_highest(struct worker *w, const char *task, json_int_t attempt)
+{
+	json_int_t *was = g_hash_table_lookup(w->highest, task);
+	json_int_t *now = g_new(json_int_t, 1);
+
+	*now = MAX(attempt, was != NULL ? *was : 0);
+	g_hash_table_replace(w->highest, g_strdup(task), now);
+}
+
 /* A run is over. */
 static void run_end(struct worker *w, struct run *r, const char *how)
 {
+	note_highest(w, r->task, r->attempt);
 	json_array_append_new(w->finished,
 		json_pack("[I,s,I,s,s]", ++w->ended, r->task, r->attempt, how, ""));
 	g_ptr_array_remove(w->runs, r);
 }
 
-/* Start: the payload is how many milliseconds the task works. */
-static void worker_start(struct worker *w, struct http_request *q, const json_t *in)
+/* Start: the payload is how many milliseconds the task works. True where it runs then. */
+static bool run_start(struct worker *w, const json_t *in)
 {
 	const char *task = json_string_value(json_object_get(in, "task"));
 	json_int_t attempt = json_integer_value(json_object_get(in, "attempt"));
+	const json_int_t *highest = g_hash_table_lookup(w->highest, task);
 	struct run *r;
 
 	for (guint i = 0; i < w->runs->len; i++) {
 		r = w->runs->pdata[i];
-		if (strcmp(r->task, task) == 0 && r->attempt == attempt) {
-			reply(q, 200, worker_json(w));
-			return;
-		}
+		if (strcmp(r->task, task) == 0 && r->attempt == attempt)
+			return true;
 	}
+	if (highest != NULL && attempt <= *highest)
+		return false;
 	r = xcalloc(1, sizeof(*r));
 	r->task = xstrdup(task);
 	r->attempt = attempt;
@@ -427,7 +453,44 @@
 	w->started++;
 	w->lease_until =
 		MAX(w->lease_until, json_integer_value(json_object_get(in, "deadline_ms")));
-	reply(q, 200, worker_json(w));
+	return true;
+}
+
+/* A start that was asked for, now or, without an answer, later. */
+static void worker_start(struct worker *w, struct http_request *q, const json_t *in)
+{
+	if (late_orders > 0) {
+		struct late_order *o = xcalloc(1, sizeof(*o));
+
+		late_orders--;
+		o->worker = w;
+		o->start = json_deep_copy(in);
+		o->at = now_ms() + LATE_BY_MS;
+		g_ptr_array_add(late, o);
+		http_reply(q, 500, NULL, "", 0);
+		return;
+	}
+	if (run_start(w, in))
+		reply(q, 200, worker_json(w));
+	else
+		reply(q, 409,
+			json_pack("{s:s,s:I}", "reason", "old", "clock_ms",
+				(json_int_t)now_ms()));
+}
+
+/* Carry out the late orders that are due. */
+static void run_late(void)
+{
+	for (guint i = late->len; i > 0; i--) {
+		struct late_order *o = late->pdata[i - 1];
+
+		if (now_ms() < o->at)
+			continue;
+		run_start(o->worker, o->start);
+		json_decref(o->start);
+		free(o);
+		g_ptr_array_remove_index(late, i - 1);
+	}
 }
 
 /* A call on a worker, on the loop. */
@@ -450,6 +513,7 @@
 	} else if (strcmp(path, "/v1/run-stop") == 0) {
 		const char *task = json_string_value(json_object_get(in, "task"));
 
+		note_highest(w, task, json_integer_value(json_object_get(in, "attempt")));
 		for (guint i = 0; i < w->runs->len; i++) {
 			struct run *r = w->runs->pdata[i];
 
@@ -517,6 +581,7 @@
 static void tick(void *arg)
 {
 	(void)arg;
+	run_late();
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
@@ -556,6 +621,7 @@
 	w->app = xstrdup(addrs[0]);
 	w->control = xstrdup(addrs[1]);
 	w->runs = g_ptr_array_new();
+	w->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->finished = json_array();
 	w->born = now_ms();
 	w->server = http_server_new(w->app, limits, on_worker, w, NULL);
@@ -588,6 +654,7 @@
 	items = g_ptr_array_new();
 	history = g_ptr_array_new();
 	waits = g_ptr_array_new();
+	late = g_ptr_array_new();
 	workers = g_ptr_array_new();
 	leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
 	encoded = g_base64_encode((guchar *)config, len);
