--- /dev/null
+++ b/packages/bench/bench-workload.c
@@ -0,0 +1,343 @@
+/*
+ * What the coordinator's decisions cost: a simulated fleet under a load above its capacity,
+ *with the mix of jobs that its users have. Prints processor time a simulated second and a pass.
+ *
+ *	bench-workload WORKERS [SECONDS [LOAD]]
+ */
+#include "workload.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define STEP	     (20 * NSEC_PER_MSEC)
+#define REPORT_EACH  NSEC_PER_SEC
+#define RACK_SIZE    8
+#define ORGS	     10
+#define ACCELERATORS 8
+#define STOP_TAKES   (300 * NSEC_PER_MSEC)
+
+/* Kinds of jobs: a share of the accelerators of the fleet, tasks, run time. */
+static const struct kind {
+	const char *queue;
+	uint32_t priority;
+	double share;
+	double tasks;
+	double seconds;
+	bool any_size; /* 1 to 8 accelerators a task */
+} kinds[] = {{"confirm", 0, 0.30, 5, 2.5, true}, {"plan", 1, 0.45, 6, 6.8, true},
+	{"quote", 2, 0.25, 30, 6.1, false}};
+
+struct sim_run {
+	char task[48];
+	uint32_t attempt;
+	int64_t began;
+	int64_t ends;
+	bool stopped;
+	struct sim_node *node;
+};
+struct sim_node {
+	char name[16];
+	char life[16];
+	char rack[16];
+	int64_t next_report;
+	uint64_t ended;
+	GPtrArray *runs;
+	GArray *ends;
+	bool changed;
+};
+struct sim {
+	struct wl *wl;
+	GPtrArray *nodes;
+	GPtrArray *dirty;
+	GHashTable *run_time; /* by job id, in ns */
+	int64_t now;
+	uint64_t ordinal;
+	unsigned int jobs;
+	unsigned int starts;
+	unsigned int stops;
+	unsigned int done;
+};
+
+static struct sim_node *node_of(struct sim *s, const char *name)
+{
+	for (guint i = 0; i < s->nodes->len; i++) {
+		if (strcmp(((struct sim_node *)s->nodes->pdata[i])->name, name) == 0)
+			return s->nodes->pdata[i];
+	}
+	return NULL;
+}
+
+static void on_start(void *arg, const char *node, const struct wl_start_order *o)
+{
+	struct sim *s = arg;
+	struct sim_node *n = node_of(s, node);
+
+	for (uint32_t i = 0; i < o->starts_len; i++) {
+		struct sim_run *r = xcalloc(1, sizeof(*r));
+		g_autofree char *id = g_strndup(o->starts[i].task, WL_ID_LEN);
+		const int64_t *takes = g_hash_table_lookup(s->run_time, id);
+
+		g_strlcpy(r->task, o->starts[i].task, sizeof(r->task));
+		r->attempt = o->starts[i].attempt;
+		r->began = s->now;
+		r->ends = s->now + *takes;
+		g_ptr_array_add(n->runs, r);
+		s->ordinal = o->starts[i].ordinal;
+		s->starts++;
+	}
+	n->changed = true;
+}
+
+static void on_stop(void *arg, const char *node, const struct wl_stop_order *o)
+{
+	struct sim *s = arg;
+	const struct sim_node *n = node_of(s, node);
+
+	s->stops++;
+	for (guint i = 0; i < n->runs->len; i++) {
+		struct sim_run *r = n->runs->pdata[i];
+
+		if (strcmp(r->task, o->task) != 0 || r->stopped)
+			continue;
+		r->stopped = true;
+		r->ends = MIN(r->ends, s->now + STOP_TAKES);
+	}
+}
+
+static void on_pace(void *arg, const char *node, const struct wl_pace_order *o)
+{
+	(void)arg;
+	(void)node;
+	(void)o;
+}
+
+static void on_dirty(void *arg, const char *id)
+{
+	struct sim *s = arg;
+
+	g_ptr_array_add(s->dirty, g_strdup(id));
+}
+
+static void store(struct sim *s)
+{
+	while (s->dirty->len > 0) {
+		g_autofree char *id = g_ptr_array_steal_index_fast(s->dirty, 0);
+		uint64_t version;
+		struct bytes p = wl_job_progress(s->wl, id, &version);
+
+		bytes_clear(&p);
+		wl_job_stored(s->wl, s->now, id, version);
+	}
+}
+
+/* A worker's lists, whole. */
+static void report(struct sim *s, struct sim_node *n)
+{
+	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct wl_run));
+	struct wl_report r = {.node = n->name,
+		.life = n->life,
+		.service = (char *)"s",
+		.rack = n->rack,
+		.cores_m = 128000,
+		.memory_mb = 262144,
+		.accelerators = ACCELERATORS,
+		.covers = s->ordinal,
+		.ends = (struct wl_ended *)n->ends->data,
+		.ends_len = n->ends->len};
+
+	for (guint i = 0; i < n->runs->len; i++) {
+		struct sim_run *x = n->runs->pdata[i];
+		struct wl_run run = {.task = x->task,
+			.attempt = x->attempt,
+			.percent = (uint32_t)(100 * (s->now - x->began) /
+					      MAX(x->ends - x->began, 1))};
+
+		g_array_append_val(runs, run);
+	}
+	r.runs = (struct wl_run *)runs->data;
+	r.runs_len = runs->len;
+	wl_node_report(s->wl, s->now, s->now, &r);
+	for (guint i = 0; i < n->ends->len; i++)
+		free(g_array_index(n->ends, struct wl_ended, i).task);
+	g_array_set_size(n->ends, 0);
+	g_array_free(runs, TRUE);
+	n->changed = false;
+	n->next_report = s->now + REPORT_EACH;
+}
+
+/* Runs end. */
+static void work(struct sim *s, struct sim_node *n)
+{
+	for (guint i = n->runs->len; i > 0; i--) {
+		struct sim_run *r = n->runs->pdata[i - 1];
+		struct wl_ended e = {.task = xstrdup(r->task),
+			.attempt = r->attempt,
+			.number = n->ended + 1,
+			.how = r->stopped ? WL_END_STOPPED : WL_END_DONE};
+
+		if (s->now < r->ends) {
+			free(e.task);
+			continue;
+		}
+		n->ended++;
+		s->done += !r->stopped;
+		g_array_append_val(n->ends, e);
+		g_ptr_array_remove_index(n->runs, i - 1);
+		free(r);
+		n->changed = true;
+	}
+}
+
+/* A number around a mean. */
+static double around(double mean)
+{
+	return mean * exp(0.6 * g_random_double_range(-1, 1));
+}
+
+static void submit(struct sim *s, const struct kind *k)
+{
+	char id[WL_ID_LEN + 1];
+	char org[16];
+	int64_t *takes = g_new(int64_t, 1);
+	struct wl_step step = {.count = (uint32_t)MAX(around(k->tasks), 1),
+		.cores_m = 11000,
+		.memory_mb = 23000,
+		.accelerators = k->any_size ? 1u << g_random_int_range(0, 4) : 1,
+		.gang = k->priority < 2 && g_random_int_range(0, 3) > 0,
+		.rack_local = k->priority < 2 && g_random_int_range(0, 2) > 0};
+	struct wl_spec spec = {.id = id,
+		.queue = (char *)k->queue,
+		.service = (char *)"s",
+		.org = org,
+		.payload = (char *)"x",
+		.steps = &step,
+		.steps_len = 1};
+
+	g_snprintf(id, sizeof(id), "%016x", ++s->jobs);
+	g_snprintf(org, sizeof(org), "o%d", g_random_int_range(0, ORGS));
+	*takes = (int64_t)(around(k->seconds) * (double)NSEC_PER_SEC);
+	step.estimate_ms = (uint32_t)(*takes / NSEC_PER_MSEC);
+	g_hash_table_insert(s->run_time, g_strdup(id), takes);
+	wl_job_add(s->wl, s->now, s->now, &spec, NULL);
+}
+
+static struct wl_config *make_config(unsigned int workers)
+{
+	struct wl_config *c = wl_config_new();
+
+	for (size_t i = 0; i < ARRAY_LEN(kinds); i++) {
+		struct wl_queue *q = xcalloc(1, sizeof(*q));
+
+		q->name = xstrdup(kinds[i].queue);
+		q->host = xstrdup("h");
+		q->prefix = xstrdup(kinds[i].queue);
+		q->service = xstrdup("s");
+		q->priority = kinds[i].priority;
+		q->attempts_max = 4;
+		q->stretch = kinds[i].priority == 0 ? 1.5 : 3;
+		q->target_ms = 250;
+		wl_config_add_queue(c, q);
+	}
+	for (int i = 0; i < ORGS; i++) {
+		struct wl_org *o = xcalloc(1, sizeof(*o));
+
+		o->name = g_strdup_printf("o%d", i);
+		o->keys = g_ptr_array_new_with_free_func(free);
+		o->guaranteed = workers * ACCELERATORS / (2 * ORGS);
+		wl_config_add_org(c, o);
+	}
+	return c;
+}
+
+static double cpu_now(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+int main(int argc, char **argv)
+{
+	unsigned int workers = argc > 1 ? (unsigned int)atoi(argv[1]) : 62;
+	double seconds = argc > 2 ? atof(argv[2]) : 30;
+	double load = argc > 3 ? atof(argv[3]) : 1.2;
+	const struct wl_limits limits = {.stop_max = 400 * NSEC_PER_MSEC,
+		.gang_wait = 4 * NSEC_PER_SEC,
+		.remote_penalty = 3,
+		.restore = 250 * NSEC_PER_MSEC,
+		.silence_max = 10 * NSEC_PER_SEC,
+		.reclaim_max = 2900 * NSEC_PER_MSEC,
+		.retention = 150 * NSEC_PER_SEC};
+	struct sim s = {.now = 100 * NSEC_PER_SEC};
+	const struct wl_out out = {.start = on_start,
+		.stop = on_stop,
+		.pace = on_pace,
+		.dirty = on_dirty,
+		.arg = &s};
+	struct wl_config *config = make_config(workers);
+	double due[ARRAY_LEN(kinds)] = {0};
+	double pass_cpu = 0;
+	double worst = 0;
+	double begin;
+	unsigned int passes = 0;
+
+	g_random_set_seed(20261204);
+	s.nodes = g_ptr_array_new();
+	s.dirty = g_ptr_array_new_with_free_func(g_free);
+	s.run_time = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s.wl = wl_new(1, &limits, &out);
+	wl_set_config(s.wl, config);
+	for (unsigned int i = 0; i < workers; i++) {
+		struct sim_node *n = xcalloc(1, sizeof(*n));
+
+		g_snprintf(n->name, sizeof(n->name), "w%u", i);
+		g_snprintf(n->life, sizeof(n->life), "l%u", i);
+		g_snprintf(n->rack, sizeof(n->rack), "r%u", i / RACK_SIZE);
+		n->runs = g_ptr_array_new();
+		n->ends = g_array_new(FALSE, TRUE, sizeof(struct wl_ended));
+		n->next_report = s.now + i * REPORT_EACH / workers;
+		g_ptr_array_add(s.nodes, n);
+		report(&s, n);
+	}
+	begin = cpu_now();
+	for (int64_t end = s.now + (int64_t)(seconds * (double)NSEC_PER_SEC); s.now < end;
+		s.now += STEP) {
+		for (size_t k = 0; k < ARRAY_LEN(kinds); k++) {
+			double size = kinds[k].any_size ? 3.75 : 1;
+			double a_second = load * kinds[k].share * workers * ACCELERATORS /
+					  (kinds[k].tasks * kinds[k].seconds * size);
+
+			due[k] += a_second * (double)STEP / (double)NSEC_PER_SEC;
+			for (; due[k] >= 1; due[k]--)
+				submit(&s, &kinds[k]);
+		}
+		for (guint i = 0; i < s.nodes->len; i++) {
+			struct sim_node *n = s.nodes->pdata[i];
+
+			work(&s, n);
+			if (n->changed || s.now >= n->next_report)
+				report(&s, n);
+		}
+		store(&s);
+		if (wl_wants_pass(s.wl) || s.now % (100 * NSEC_PER_MSEC) == 0) {
+			double t = cpu_now();
+
+			wl_pass(s.wl, s.now, s.now);
+			t = cpu_now() - t;
+			pass_cpu += t;
+			worst = MAX(worst, t);
+			passes++;
+		}
+		store(&s);
+	}
+	printf("workers=%u load=%.1f jobs=%u starts=%u stops=%u done=%u cpu_a_second=%.4f "
+	       "passes_a_second=%.1f "
+	       "pass_mean_ms=%.3f pass_worst_ms=%.2f\n",
+		workers, load, s.jobs, s.starts, s.stops, s.done, (cpu_now() - begin) / seconds,
+		passes / seconds, 1000 * pass_cpu / passes, 1000 * worst);
+	return 0;
+}
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -25,6 +25,8 @@
 #define START_AGE_MAX (3 * NSEC_PER_SEC)
 /* A lease of a run on a worker whose clock is slow, and what a message may take. */
 #define LEASE_SLACK (400 * NSEC_PER_MSEC)
+/* The rest after a pass is as long as the pass, and no longer than this. */
+#define PASS_REST_MAX (100 * NSEC_PER_MSEC)
 /* Room for callers that ask for a job's state late. */
 #define RETENTION_EXTRA (30 * NSEC_PER_SEC)
 
@@ -61,6 +63,8 @@
 	struct loop_timer *keep_timer;
 	struct loop_timer *sweep_timer;
 	struct loop_timer *pass_timer;
+	int64_t pass_ended;
+	int64_t pass_took;
 	struct loop_timer *watch_timer;
 	unsigned int jobs;
 };
@@ -166,8 +170,10 @@
 	c->pass_timer = NULL;
 	if (c->loaded && !c->stopping && !c->lost && term_age(c) < START_AGE_MAX) {
 		next = wl_pass(c->wl, now, clock_wall(loop_clock(c->p->loop)));
+		c->pass_ended = loop_now(c->p->loop);
+		c->pass_took = MIN(c->pass_ended - now, PASS_REST_MAX);
 		counter_add(&passes_total, 1);
-		histogram_add(&pass_seconds, loop_now(c->p->loop) - now);
+		histogram_add(&pass_seconds, c->pass_ended - now);
 	}
 	if (c->pass_timer == NULL)
 		schedule_pass(c, next);
@@ -181,10 +187,14 @@
 	c->pass_timer = loop_timer_add(c->p->loop, delay, 0, run_pass, c);
 }
 
-/* Something came that may let work start. */
+/*
+ * Something came: decide soon if it may let work start. Passes take at most half of the time,
+ * so that messages are not kept waiting where a pass is long.
+ */
 static void pass_soon(struct wl_coord *c)
 {
-	schedule_pass(c, 0);
+	if (wl_wants_pass(c->wl))
+		schedule_pass(c, MAX(c->pass_ended + c->pass_took - loop_now(c->p->loop), 0));
 }
 
 /* Tell agents up to where the ends that they listed are stored. */
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -201,6 +201,7 @@
 	j->wl = w;
 	fields_copy(&wl_spec_fields, &j->spec, spec);
 	j->added_at = now;
+	w->changed = true;
 	job_refresh(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
@@ -228,6 +229,7 @@
 	if (wl_state_ended(j->state))
 		return;
 	j->state = state;
+	j->wl->changed = true;
 	j->ended_ms = wall / NSEC_PER_MSEC;
 	event_log(EV_JOB_END, "job=%s state=%s why=\"%s\" after_ms=%" PRId64, j->spec.id,
 		wl_state_name(state), why, (now - j->added_at) / NSEC_PER_MSEC);
@@ -324,6 +326,7 @@
 		free(j->occurrences[k]);
 	}
 	free(j->occurrences);
+	free(j->estimates);
 	fields_clear(&wl_spec_fields, &j->spec);
 	free(j);
 }
@@ -453,6 +456,7 @@
 	struct wl_job *j;
 
 	w->config = c;
+	w->changed = true;
 	TAILQ_FOREACH(j, &w->list, entry)
 		job_refresh(j);
 }
--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -52,33 +52,6 @@
 	return INT64_MAX;
 }
 
-/* The worker that has room for a task of the unit first and keeps none yet. */
-static struct wl_node *first_node(struct wl *w, const struct wl_unit *u, int64_t now,
-	const char *rack, const GPtrArray *taken, int64_t *at, struct wl_room *room)
-{
-	struct wl_need need = task_need(u->step);
-	struct wl_node *best = NULL;
-
-	*at = INT64_MAX;
-	for (guint i = 0; i < w->nodes->len; i++) {
-		struct wl_node *n = w->nodes->pdata[i];
-		struct wl_room r;
-		int64_t when;
-
-		if (!node_suits(n, u, now) || n->kept_from != 0 ||
-			(rack != NULL && g_strcmp0(rack, n->rack) != 0) ||
-			g_ptr_array_find((GPtrArray *)taken, n, NULL))
-			continue;
-		when = room_at(n, &need, now, &r);
-		if (when < *at) {
-			*at = when;
-			*room = r;
-			best = n;
-		}
-	}
-	return best;
-}
-
 /* How many tasks of a need fit into a room. */
 static uint32_t fits_times(struct wl_room room, const struct wl_need *need, uint32_t most)
 {
@@ -91,40 +64,67 @@
 	return n;
 }
 
-/* A place where room is kept. */
+/* A place where room may be kept. */
 struct kept {
 	struct wl_node *node;
 	int64_t at;
 	struct wl_room beside;
 };
 
-/* Find workers for all waiting tasks, in one rack where rack is not NULL; when the last has
- * room. */
-static int64_t plan_keep(
-	struct wl *w, struct wl_unit *u, int64_t now, const char *rack, GArray *out)
+static gint kept_by_time(gconstpointer a, gconstpointer b)
+{
+	const struct kept *x = a;
+	const struct kept *y = b;
+
+	return x->at < y->at ? -1 : x->at > y->at;
+}
+
+/* The workers that will have room for a task of the unit and keep none yet, the first ones
+ * first. */
+static GArray *places_in_time(struct wl *w, const struct wl_unit *u, int64_t now)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct kept));
+	struct wl_need need = task_need(u->step);
+
+	for (guint i = 0; i < w->nodes->len; i++) {
+		struct kept k = {.node = w->nodes->pdata[i]};
+
+		if (!node_suits(k.node, u, now) || k.node->kept_from != 0)
+			continue;
+		k.at = room_at(k.node, &need, now, &k.beside);
+		if (k.at != INT64_MAX)
+			g_array_append_val(out, k);
+	}
+	g_array_sort(out, kept_by_time);
+	return out;
+}
+
+/*
+ * Choose places for all waiting tasks, in one rack where rack is not NULL; returns when the
+ * last one has room.
+ */
+static int64_t plan_keep(const struct wl_unit *u, int64_t now, const GArray *places,
+	const char *rack, GArray *out)
 {
-	g_autoptr(GPtrArray) taken = g_ptr_array_new();
 	struct wl_need need = task_need(u->step);
 	uint32_t left = u->waiting;
 	int64_t last = now;
 
 	g_array_set_size(out, 0);
-	while (left > 0) {
-		struct kept k;
+	for (guint i = 0; i < places->len && left > 0; i++) {
+		struct kept k = g_array_index(places, struct kept, i);
 		uint32_t here;
 
-		k.node = first_node(w, u, now, rack, taken, &k.at, &k.beside);
-		if (k.node == NULL || k.at == INT64_MAX)
-			return INT64_MAX;
+		if (rack != NULL && g_strcmp0(rack, k.node->rack) != 0)
+			continue;
 		here = fits_times(k.beside, &need, left);
-		for (uint32_t i = 0; i < here; i++)
+		for (uint32_t n = 0; n < here; n++)
 			room_take(&k.beside, &need);
 		left -= here;
 		last = MAX(last, k.at);
-		g_ptr_array_add(taken, k.node);
 		g_array_append_val(out, k);
 	}
-	return last;
+	return left > 0 ? INT64_MAX : last;
 }
 
 /* Keep room for the waiting tasks of a unit where it comes first. */
@@ -132,12 +132,14 @@
 {
 	g_autoptr(GArray) best = g_array_new(FALSE, FALSE, sizeof(struct kept));
 	g_autoptr(GArray) trial = g_array_new(FALSE, FALSE, sizeof(struct kept));
+	g_autoptr(GArray) places = places_in_time(w, u, now);
 	int64_t first = INT64_MAX;
 
 	if (u->step->rack_local && u->step->data_rack == NULL && !anywhere) {
-		for (guint i = 0; i < w->nodes->len; i++) {
-			const struct wl_node *n = w->nodes->pdata[i];
-			int64_t at = plan_keep(w, u, now, n->rack, trial);
+		g_autoptr(GPtrArray) racks = racks_of(w);
+
+		for (guint i = 0; i < racks->len; i++) {
+			int64_t at = plan_keep(u, now, places, racks->pdata[i], trial);
 
 			if (at < first) {
 				GArray *swap = best;
@@ -148,7 +150,7 @@
 			}
 		}
 	} else {
-		first = plan_keep(w, u, now, anywhere ? NULL : u->step->data_rack, best);
+		first = plan_keep(u, now, places, anywhere ? NULL : u->step->data_rack, best);
 	}
 	for (guint i = 0; first != INT64_MAX && i < best->len; i++) {
 		const struct kept *k = &g_array_index(best, struct kept, i);
--- a/packages/workload/wl-learn.c
+++ b/packages/workload/wl-learn.c
@@ -62,6 +62,7 @@
 	double weight;
 
 	l->runs++;
+	t->unit->job->wl->learned_runs++;
 	weight = MAX(RUN_WEIGHT, 1.0 / l->runs);
 	if (l->runs > 1)
 		l->spread += RUN_WEIGHT * ((x - l->mean) * (x - l->mean) - l->spread);
@@ -73,8 +74,8 @@
 	}
 }
 
-/* Time that a run of a step is expected to take: the estimate and the past, by their trust. */
-int64_t step_estimate(const struct wl_job *j, const struct wl_step *s)
+/* The estimate and the past, by their trust. */
+static int64_t compute_estimate(const struct wl_job *j, const struct wl_step *s)
 {
 	const struct wl_learned *l =
 		j->wl->learned != NULL ? g_hash_table_lookup(j->wl->learned, j->spec.queue)
@@ -90,3 +91,16 @@
 	}
 	return (int64_t)(ms * (double)NSEC_PER_MSEC);
 }
+
+/* Time that a run of a step is expected to take. */
+int64_t step_estimate(struct wl_job *j, const struct wl_step *s)
+{
+	if (j->estimates == NULL)
+		j->estimates = xcalloc(j->spec.steps_len, sizeof(*j->estimates));
+	else if (j->estimates_of == j->wl->learned_runs)
+		return j->estimates[s - j->spec.steps];
+	for (uint32_t i = 0; i < j->spec.steps_len; i++)
+		j->estimates[i] = compute_estimate(j, &j->spec.steps[i]);
+	j->estimates_of = j->wl->learned_runs;
+	return j->estimates[s - j->spec.steps];
+}
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -306,12 +306,16 @@
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r)
 {
 	struct wl_node *n;
+	struct wl_need capacity;
+	bool was_usable;
 	bool was_up;
 
 	if (r->node == NULL || r->life == NULL)
 		return;
 	n = node_get(w, r->node);
 	was_up = n->linked && n->life != NULL;
+	was_usable = node_usable(n, now);
+	capacity = n->capacity;
 	if (n->life == NULL || strcmp(n->life, r->life) != 0)
 		begin_life(n, now, r->life);
 	take_identity(n, now, r);
@@ -324,6 +328,9 @@
 	drop_missing(n, now, r);
 	if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
 		node_lose_tasks(n, now, "the worker has left");
+	if (node_usable(n, now) != was_usable ||
+		memcmp(&capacity, &n->capacity, sizeof(capacity)) != 0)
+		w->changed = true;
 	if (!was_up)
 		event_log(EV_WORKER_UP,
 			"node=%s life=%s rack=%s cores_m=%u memory_mb=%u accelerators=%u "
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -19,8 +19,8 @@
 /* Without events, a pass after at most this. */
 #define PASS_IDLE NSEC_PER_SEC
 
-/* Compute the room of each worker from what is attached to it. */
-static void compute_room(struct wl *w)
+/* Compute the room of each worker from what is attached to it, and whether it takes more. */
+static void compute_room(struct wl *w, int64_t now)
 {
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct wl_node *n = w->nodes->pdata[i];
@@ -30,6 +30,7 @@
 			.memory_mb = n->capacity.memory_mb,
 			.accelerators = n->capacity.accelerators};
 		n->soon = n->free;
+		n->usable = node_usable(n, now);
 		n->kept_from = 0;
 		TAILQ_FOREACH(t, &n->tasks, on_node) {
 			struct wl_need need = task_need(t->unit->step);
@@ -56,7 +57,7 @@
 };
 
 /* The longest chain of estimates from a step to the end of the job. */
-static int64_t chain_from(const struct wl_job *j, uint32_t step)
+static int64_t chain_from(struct wl_job *j, uint32_t step)
 {
 	int64_t behind = 0;
 
@@ -70,7 +71,7 @@
 }
 
 /* The longest chain of the whole job. */
-static int64_t chain_of(const struct wl_job *j)
+static int64_t chain_of(struct wl_job *j)
 {
 	int64_t longest = 0;
 
@@ -252,6 +253,11 @@
 	job_dirty(j);
 }
 
+bool wl_wants_pass(const struct wl *w)
+{
+	return w->changed;
+}
+
 /* Place what can be placed. */
 int64_t wl_pass(struct wl *w, int64_t now, int64_t wall)
 {
@@ -263,8 +269,9 @@
 
 	if (w->config == NULL)
 		return next;
+	w->changed = false;
 	health_check(w, now);
-	compute_room(w);
+	compute_room(w, now);
 	TAILQ_FOREACH(j, &w->list, entry) {
 		int64_t due;
 
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -41,7 +41,8 @@
 /* Whether tasks of a unit may run on a worker at all. */
 bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now)
 {
-	return node_usable(n, now) && (!n->headroom || n->wl->may_use_headroom) &&
+	(void)now;
+	return n->usable && (!n->headroom || n->wl->may_use_headroom) &&
 	       g_strcmp0(n->service, u->job->service) == 0 &&
 	       (u->step->label == NULL || has_label(n, u->step->label));
 }
@@ -184,8 +185,8 @@
 	g_array_set_size(plan, from);
 }
 
-/* How many racks there are, and their names; owned by the nodes. */
-static GPtrArray *racks_of(const struct wl *w)
+/* The names of all racks; owned by the nodes. */
+GPtrArray *racks_of(const struct wl *w)
 {
 	GPtrArray *out = g_ptr_array_new();
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -109,6 +109,9 @@
 	int64_t target;
 	const char *service;
 	bool approval;
+	/* Expected run times by step, as of how much had been learned. */
+	int64_t *estimates;
+	unsigned int estimates_of;
 	TAILQ_ENTRY(wl_job) entry;
 };
 
@@ -152,6 +155,7 @@
 	GPtrArray *ghosts;
 	struct wl_room free; /* recomputed by each pass */
 	struct wl_room soon; /* free, and what is being stopped */
+	bool usable;	     /* new tasks may go there, as of this pass */
 	/* Left empty for urgent work that may come. */
 	bool headroom;
 	/* From then on room is kept for a unit that waits; 0 for none. What is left beside it.
@@ -172,8 +176,11 @@
 	uint64_t ordinal;
 	/* Run times by queue. */
 	GHashTable *learned;
+	unsigned int learned_runs;
 	/* Accelerators that an urgent job asks for, a moving mean. */
 	double urgent_size;
+	/* Room, work or workers have come since the last pass. */
+	bool changed;
 	/* The unit that is being placed may take the headroom. */
 	bool may_use_headroom;
 };
@@ -232,6 +239,7 @@
 	bool anywhere, GArray *out);
 bool spread_allows(const struct wl_unit *u, const struct wl_node *n, const GArray *plan);
 void plan_undo(GArray *plan, guint from, enum plan_room which);
+GPtrArray *racks_of(const struct wl *w);
 bool rack_feasible(const struct wl *w, const struct wl_unit *u);
 bool unit_is_local(const struct wl_unit *u);
 bool unit_may_spread(const struct wl *w, const struct wl_unit *u, int64_t now);
@@ -245,7 +253,7 @@
 
 /* wl-learn.c */
 void learn_run(struct wl_task *t, int64_t took);
-int64_t step_estimate(const struct wl_job *j, const struct wl_step *s);
+int64_t step_estimate(struct wl_job *j, const struct wl_step *s);
 
 /* wl-health.c */
 int64_t task_remaining(const struct wl_task *t, int64_t now);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -40,6 +40,7 @@
 	if (t->node != NULL)
 		TAILQ_REMOVE(&t->node->tasks, t, on_node);
 	t->node = NULL;
+	t->unit->job->wl->changed = true;
 	t->percent = 0;
 	t->percent_at = 0;
 	t->progress_at = 0;
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -358,6 +358,8 @@
 /* Names of nodes that need not be expected any more; g_free'd strings. */
 GPtrArray *wl_nodes_gone(struct wl *w, int64_t now);
 
+/* Whether something has happened since the last pass that may let work start. */
+bool wl_wants_pass(const struct wl *w);
 /* Decide. Returns the nanoseconds after which to ask again, where nothing else happens. */
 int64_t wl_pass(struct wl *w, int64_t now, int64_t wall);
 
