tests: a fault soak over the real programs; an entry leaves the rotation after 1 s without a proof

Soak (tests/soak, 0.6 k lines of C): 2 entries and 4 agents as processes on the stand-in of the platform, behind relays to the store and to the workers; kills, planned stops, pauses, connections held, cut, cut one way or slow, a store that is down or loses answers, late orders, crashed workers, at random and overlapping. Checked as callers and workers see it: accepted jobs end, are known, refused ones never run, no task runs twice or again after its end was noted, no worker over its accelerators, no process ends by itself.

Entry: cause: with 1.5 s and two missed health checks callers used up their tries at an entry that was cut off.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PKGS    = glib-2.0 jansson libfyaml msgpack libmicrohttpd libcurl argtable2 ck libxxhash
 WARN    = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-function
 LAYERS  = base transport protocol state coordination workload
-INC     = $(patsubst %,-iquote packages/%,$(LAYERS) daemon cli) -iquote platform
+INC     = $(patsubst %,-iquote packages/%,$(LAYERS) daemon cli) -iquote platform -iquote tests/scenario
 CFLAGS  = -std=gnu11 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread $(INC) $(shell pkg-config --cflags $(PKGS))
 CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -g $(OPT) $(SAN) -pthread -Wall -Wextra $(INC) $(shell pkg-config --cflags $(PKGS))
 LIBS    = $(shell pkg-config --libs $(PKGS)) -lm
@@ -64,12 +64,19 @@
 $(BUILD)/run-scenario: $(SCEN_OBJS) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+# The soak shares processes, relays and calls with the scenarios.
+SOAK_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/soak/*.c)) \
+	$(foreach f,proc relay client,$(BUILD)/tests/scenario/$(f).o)
+
+$(BUILD)/soak: $(SOAK_OBJS) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 UNIT_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/unit/*.c))
 
 $(BUILD)/test-units: $(UNIT_OBJS) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ -lcunit $(LIBS)
 
-TESTS = $(BUILD)/test-units $(BUILD)/test-properties $(BUILD)/run-scenario
+TESTS = $(BUILD)/test-units $(BUILD)/test-properties $(BUILD)/run-scenario $(BUILD)/soak
 tests: all $(TESTS)
 
 PROP_OBJS = $(patsubst tests/%.cc,$(BUILD)/tests/%.o,$(wildcard tests/property/*.cc))
--- a/packages/daemon/wl-entry.c
+++ b/packages/daemon/wl-entry.c
@@ -6,8 +6,11 @@
 
 /* The configuration is proved anew after this. */
 #define CONFIG_PERIOD (700 * NSEC_PER_MSEC)
-/* An entry takes new callers while its proof is at most so old. */
-#define READY_MAX_AGE (1500 * NSEC_PER_MSEC)
+/*
+ * An entry takes new callers while its proof is at most so old: one that is cut off from the
+ * store leaves the rotation before its callers have used up their tries there.
+ */
+#define READY_MAX_AGE (1000 * NSEC_PER_MSEC)
 #define READY_PERIOD  (100 * NSEC_PER_MSEC)
 /* A call without a deadline of its caller is given up after this. */
 #define CALL_LIMIT (2500 * NSEC_PER_MSEC)
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -9,17 +9,19 @@
 /*
  * Stands in for the users' platform in tests: its store, and workers that run tasks under
  * leases. One process; all of it runs on one loop. POST /control on the store changes how it
- * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2}; GET
- * /control counts calls.
+ * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2}; the answer
+ * counts calls and starts and tells what must not have happened. A task's payload is
+ * "MILLISECONDS ACCELERATORS".
  *
  * standin-platform STORE CONFIG WORKER=APP,CONTROL ...
  */
 
-#define LATE_BY_MS  2500 /* a late order is carried out after this */
-#define TICK	    (20 * NSEC_PER_MSEC)
-#define BEAT_PERIOD (300 * NSEC_PER_MSEC)
-#define LEASE_MAX   6000
-#define EVENTS_MAX  1000
+#define ACCELERATORS 8	  /* of each worker */
+#define LATE_BY_MS   2500 /* a late order is carried out after this */
+#define TICK	     (20 * NSEC_PER_MSEC)
+#define BEAT_PERIOD  (300 * NSEC_PER_MSEC)
+#define LEASE_MAX    6000
+#define EVENTS_MAX   1000
 
 struct item {
 	char *key;
@@ -44,6 +46,7 @@
 struct run {
 	char *task;
 	json_int_t attempt;
+	json_int_t accelerators;
 	int64_t left;
 	int64_t stop_at;
 };
@@ -65,6 +68,7 @@
 	json_int_t fence;
 	json_int_t ended;
 	GPtrArray *runs;
+	GHashTable *done;    /* number of the end by task, of ends that are not noted yet */
 	GHashTable *highest; /* by task, the last attempt that was stopped or ended here */
 	json_t *finished;
 	unsigned int started;
@@ -83,6 +87,10 @@
 static json_int_t drop_answers;
 static json_int_t late_orders;
 static GPtrArray *late;
+/* What the system has done: jobs that began, tasks whose end was noted, and what was wrong. */
+static GHashTable *begun;
+static GHashTable *settled;
+static json_t *wrong;
 static unsigned int calls;
 
 static int64_t now_ms(void)
@@ -314,6 +322,13 @@
 	reply(r, 200, json_object());
 }
 
+/* Note what must not have happened. */
+static void note_wrong(const char *what, const char *of)
+{
+	json_array_append_new(
+		wrong, json_sprintf("%s %s at %lld", what, of, (long long)now_ms()));
+}
+
 /* Forget all that a worker is and has: it starts again. */
 static void worker_crash(struct worker *w)
 {
@@ -323,10 +338,28 @@
 	w->lease_until = 0;
 	g_ptr_array_set_size(w->runs, 0);
 	g_hash_table_remove_all(w->highest);
+	g_hash_table_remove_all(w->done);
+	for (guint i = late->len; i > 0; i--) {
+		if (((struct late_order *)late->pdata[i - 1])->worker == w)
+			g_ptr_array_remove_index(late, i - 1);
+	}
 	json_array_clear(w->finished);
 	w->next_beat = 0;
 }
 
+/* Ids of the jobs of which something was started. */
+static json_t *begun_json(void)
+{
+	json_t *out = json_array();
+	GHashTableIter it;
+	gpointer id;
+
+	g_hash_table_iter_init(&it, begun);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		json_array_append_new(out, json_string(id));
+	return out;
+}
+
 /* Change how the stand-in behaves, or tell how often it was called. */
 static void do_control(struct http_request *r, const json_t *in)
 {
@@ -346,7 +379,9 @@
 			worker_crash(w);
 		json_object_set_new(started, w->name, json_integer(w->started));
 	}
-	reply(r, 200, json_pack("{s:i,s:o}", "calls", (int)calls, "started", started));
+	reply(r, 200,
+		json_pack("{s:i,s:o,s:o,s:O}", "calls", (int)calls, "started", started, "begun",
+			begun_json(), "wrong", wrong));
 }
 
 /* A call on the store, on the loop. */
@@ -425,17 +460,63 @@
 static void run_end(struct worker *w, struct run *r, const char *how)
 {
 	note_highest(w, r->task, r->attempt);
+	if (strcmp(how, "done") == 0)
+		g_hash_table_replace(
+			w->done, g_strdup(r->task), GSIZE_TO_POINTER((gsize)w->ended + 1));
 	json_array_append_new(w->finished,
 		json_pack("[I,s,I,s,s]", ++w->ended, r->task, r->attempt, how, ""));
 	g_ptr_array_remove(w->runs, r);
 }
 
+/* Whether a start breaks a promise: run twice, again after its end, or over the capacity. */
+static void check_start(const struct worker *w, const char *task, const char *payload)
+{
+	char *rest;
+	json_int_t used;
+
+	g_ascii_strtoll(payload, &rest, 10);
+	used = g_ascii_strtoll(rest, NULL, 10);
+	g_hash_table_add(begun, g_strndup(task, 16));
+	if (g_hash_table_contains(settled, task))
+		note_wrong("started after its end was noted:", task);
+	for (guint i = 0; i < workers->len; i++) {
+		const struct worker *other = workers->pdata[i];
+
+		for (guint k = 0; k < other->runs->len; k++) {
+			const struct run *r = other->runs->pdata[k];
+
+			if (strcmp(r->task, task) == 0)
+				note_wrong("runs twice:", task);
+			used += other == w ? r->accelerators : 0;
+		}
+	}
+	if (used > ACCELERATORS)
+		note_wrong("over its accelerators:", w->name);
+}
+
+/* Ends up to a number were noted: their tasks must never start again. */
+static void note_settled(const struct worker *w, json_int_t seen)
+{
+	GHashTableIter it;
+	gpointer task;
+	gpointer number;
+
+	g_hash_table_iter_init(&it, w->done);
+	while (g_hash_table_iter_next(&it, &task, &number)) {
+		if ((json_int_t)GPOINTER_TO_SIZE(number) > seen)
+			continue;
+		g_hash_table_add(settled, g_strdup(task));
+		g_hash_table_iter_remove(&it);
+	}
+}
+
 /* Start: the payload is how many milliseconds the task works. True where it runs then. */
 static bool run_start(struct worker *w, const json_t *in)
 {
 	const char *task = json_string_value(json_object_get(in, "task"));
 	json_int_t attempt = json_integer_value(json_object_get(in, "attempt"));
 	const json_int_t *highest = g_hash_table_lookup(w->highest, task);
+	char *accelerators;
 	struct run *r;
 
 	for (guint i = 0; i < w->runs->len; i++) {
@@ -445,10 +526,16 @@
 	}
 	if (highest != NULL && attempt <= *highest)
 		return false;
+	if (json_integer_value(json_object_get(in, "fencing_token")) < w->fence ||
+		json_integer_value(json_object_get(in, "deadline_ms")) < now_ms())
+		return false;
+	check_start(w, task, json_string_value(json_object_get(in, "spec")));
 	r = xcalloc(1, sizeof(*r));
 	r->task = xstrdup(task);
 	r->attempt = attempt;
-	r->left = g_ascii_strtoll(json_string_value(json_object_get(in, "spec")), NULL, 10);
+	r->left = g_ascii_strtoll(
+		json_string_value(json_object_get(in, "spec")), &accelerators, 10);
+	r->accelerators = g_ascii_strtoll(accelerators, NULL, 10);
 	g_ptr_array_add(w->runs, r);
 	w->started++;
 	w->lease_until =
@@ -525,6 +612,7 @@
 		struct waiting *h = xcalloc(1, sizeof(*h));
 		json_int_t seen = json_integer_value(json_object_get(in, "last_seen"));
 
+		note_settled(w, seen);
 		while (json_array_size(w->finished) > 0 &&
 			json_integer_value(json_array_get(json_array_get(w->finished, 0), 0)) <=
 				seen)
@@ -564,7 +652,7 @@
 	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:{s:i,s:i,s:i},s:[s,s]}", "service",
 		"proofing", "zone", "z1", "state", "ready", "sequence",
 		(json_int_t)++w->sequence, "born", (json_int_t)w->born, "capacity", "cpu",
-		32000, "task_memory_mb", 64000, "gpu", 8, "labels", "a", "r1-1");
+		32000, "task_memory_mb", 64000, "gpu", ACCELERATORS, "labels", "a", "r1-1");
 	struct http_call *c;
 
 	xasprintf(&url, "http://%s/v1/instances/%s", w->control, w->name);
@@ -621,6 +709,7 @@
 	w->app = xstrdup(addrs[0]);
 	w->control = xstrdup(addrs[1]);
 	w->runs = g_ptr_array_new();
+	w->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->finished = json_array();
 	w->born = now_ms();
@@ -655,6 +744,9 @@
 	history = g_ptr_array_new();
 	waits = g_ptr_array_new();
 	late = g_ptr_array_new();
+	begun = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	settled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	wrong = json_array();
 	workers = g_ptr_array_new();
 	leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
 	encoded = g_base64_encode((guchar *)config, len);
--- a/tests/scenario/proc.c
+++ b/tests/scenario/proc.c
@@ -35,6 +35,8 @@
 	if (p->pid != 0)
 		return;
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (p->node_file != NULL)
+		setenv("DAMASKPATH_NODE_FILE", p->node_file, 1);
 	dup2(open(p->out, O_WRONLY | O_CREAT | O_APPEND, 0600), 1);
 	dup2(open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
 	execv(p->argv[0], p->argv);
@@ -44,7 +46,7 @@
 /* The address that a process printed after "ready " or logged after "http=" or "upstream=". */
 static char *find_addr(const struct proc *p)
 {
-	static const char *const marks[] = {"ready ", "http=", "upstream="};
+	static const char *const marks[] = {"ready ", "http=", "upstream=", "ev=start role="};
 	g_autofree char *out = NULL;
 	g_autofree char *log = NULL;
 	g_autofree char *both = NULL;
@@ -82,9 +84,17 @@
 
 /* Start a process; owns argv. */
 struct proc *proc_start(struct scenario *s, const char *name, char **argv)
+{
+	return proc_start_node(s, name, argv, NULL);
+}
+
+/* Start a process with a settings file of the platform; owns argv. */
+struct proc *proc_start_node(
+	struct scenario *s, const char *name, char **argv, const char *node_file)
 {
 	struct proc *p = xcalloc(1, sizeof(*p));
 
+	p->node_file = xstrdup(node_file);
 	g_strlcpy(p->name, name, sizeof(p->name));
 	p->kills = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	p->argv = argv;
@@ -171,6 +181,7 @@
 	g_strfreev(p->argv);
 	free(p->out);
 	free(p->log);
+	free(p->node_file);
 	g_free(p->addr);
 	free(p);
 }
--- a/tests/scenario/relay.c
+++ b/tests/scenario/relay.c
@@ -9,6 +9,7 @@
 
 #define PAIRS_MAX 256
 #define CHUNK	  65536
+#define SLOW_US	  60000 /* each piece of data is late by this */
 
 struct relay {
 	char *target;
@@ -86,14 +87,18 @@
 		fds[0] = (struct pollfd){r->listen_fd, POLLIN, 0};
 		for (size_t i = 0; i < n; i++) {
 			short want = mode == RELAY_HOLD ? 0 : POLLIN;
+			short back = mode == RELAY_ONE_WAY ? 0 : want;
 
 			fds[1 + 2 * i] = (struct pollfd){r->pairs[i][0], want, 0};
-			fds[2 + 2 * i] = (struct pollfd){r->pairs[i][1], want, 0};
+			fds[2 + 2 * i] = (struct pollfd){r->pairs[i][1], back, 0};
 		}
 		poll(fds, 1 + 2 * n, 20);
 		for (size_t i = n; i-- > 0;) {
 			bool ok = mode != RELAY_CUT;
 
+			if (mode == RELAY_SLOW &&
+				(fds[1 + 2 * i].revents | fds[2 + 2 * i].revents) & POLLIN)
+				usleep(SLOW_US);
 			if (ok && fds[1 + 2 * i].revents & POLLIN)
 				ok = forward(r->pairs[i][0], r->pairs[i][1]);
 			if (ok && fds[2 + 2 * i].revents & POLLIN)
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -17,6 +17,8 @@
 	char *out;
 	char *log;
 	char *addr;
+	/* Settings file of the users' platform, or NULL. */
+	char *node_file;
 	bool killed;
 	bool stopping;
 	GArray *kills;
@@ -83,6 +85,8 @@
 
 /* proc.c */
 struct proc *proc_start(struct scenario *s, const char *name, char **argv);
+struct proc *proc_start_node(
+	struct scenario *s, const char *name, char **argv, const char *node_file);
 void proc_restart(struct scenario *s, struct proc *p);
 bool proc_signal(struct scenario *s, struct proc *p, int sig);
 struct proc *proc_find(struct scenario *s, const char *name);
@@ -95,7 +99,10 @@
 enum relay_mode {
 	RELAY_OPEN,
 	RELAY_HOLD,
-	RELAY_CUT
+	RELAY_CUT,
+	/* What callers send arrives, answers do not. */
+	RELAY_ONE_WAY,
+	RELAY_SLOW
 };
 struct relay *relay_new(const char *target, char **addr);
 void relay_set(struct relay *r, enum relay_mode mode);
