agent: no end is forgotten while a start has no answer

Starts that were under way reached the new life and ended there as numbers 1 and 2; the agent, which did not know of the new life yet, told it to forget ends up to a number of the old one. The end was lost unseen, the run counted as missing and the task ran twice. Ruled out: a takeover (one term all along), a late order (it had been answered by its end), the coordinator's records (the other task of the same worker was stored and acknowledged). Change: while a start is open the agent lets the worker forget nothing. The stand-in can be mute.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -330,11 +330,21 @@
 	free(wc);
 }
 
+/*
+ * Up to which end the worker may forget. A start without an answer may have reached a new life
+ * under the same name that has not been heard of yet: its ends are numbered from 1 again, so
+ * none may be forgotten before the start is answered.
+ */
+static uint64_t ends_to_forget(const struct wl_worker *w)
+{
+	return w->open->len > 0 ? 0 : w->ends_stored;
+}
+
 /* Renew the leases and ask for the lists, as long as there is a coordinator. */
 static void hold(struct wl_worker *w)
 {
 	struct pf_hold h = {.fence = w->term,
-		.ends_stored = w->ends_stored,
+		.ends_stored = ends_to_forget(w),
 		.deadline_ms = lease_deadline(w),
 		.wait_ms = HOLD_WAIT_MS};
 
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -9,14 +9,16 @@
 /*
  * Stands in for the users' platform in tests: its store, and workers that run tasks under
  * leases. One process; all of it runs on one loop. POST /control on the store changes how it
- * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2}; the answer
- * counts calls and starts and tells what must not have happened. A task's payload is
+ * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2},
+ * {"mute":"WORKER"}, which carries out calls and answers none; the answer counts calls and
+ * starts and tells what must not have happened. A task's payload is
  * "MILLISECONDS ACCELERATORS".
  *
  * standin-platform STORE CONFIG WORKER=APP,CONTROL ...
  */
 
-#define ACCELERATORS 8	  /* of each worker */
+#define ACCELERATORS 8 /* of each worker */
+#define MUTE_BEAT_MS 2500
 #define LATE_BY_MS   2500 /* a late order is carried out after this */
 #define TICK	     (20 * NSEC_PER_MSEC)
 #define BEAT_PERIOD  (300 * NSEC_PER_MSEC)
@@ -72,6 +74,7 @@
 	GHashTable *highest; /* by task, the last attempt that was stopped or ended here */
 	json_t *finished;
 	unsigned int started;
+	bool mute;
 };
 
 static struct loop *loop;
@@ -184,11 +187,22 @@
 		(json_int_t)w->born, "running", running, "finished", w->finished);
 }
 
+/* Answer a call on a worker, unless nothing is to reach the caller. */
+static void worker_reply(const struct worker *w, struct http_request *r, int status, json_t *o)
+{
+	if (!w->mute) {
+		reply(r, status, o);
+		return;
+	}
+	json_decref(o);
+	http_reply(r, 500, NULL, "", 0);
+}
+
 static bool look_answer(struct waiting *w)
 {
 	if (json_array_size(w->worker->finished) == 0 && now_ms() < w->until)
 		return false;
-	reply(w->request, 200, worker_json(w->worker));
+	worker_reply(w->worker, w->request, 200, worker_json(w->worker));
 	return true;
 }
 
@@ -344,7 +358,8 @@
 			g_ptr_array_remove_index(late, i - 1);
 	}
 	json_array_clear(w->finished);
-	w->next_beat = 0;
+	/* A mute worker does not tell of its new life at once either. */
+	w->next_beat = w->mute ? now_ms() + MUTE_BEAT_MS : 0;
 }
 
 /* Ids of the jobs of which something was started. */
@@ -364,6 +379,7 @@
 static void do_control(struct http_request *r, const json_t *in)
 {
 	const char *crash = json_string_value(json_object_get(in, "crash"));
+	const char *mute = json_string_value(json_object_get(in, "mute"));
 	json_t *started = json_object();
 
 	if (json_object_get(in, "down") != NULL)
@@ -375,6 +391,8 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
+		if (mute != NULL)
+			w->mute = strcmp(mute, w->name) == 0;
 		if (crash != NULL && strcmp(crash, w->name) == 0)
 			worker_crash(w);
 		json_object_set_new(started, w->name, json_integer(w->started));
@@ -558,9 +576,9 @@
 		return;
 	}
 	if (run_start(w, in))
-		reply(q, 200, worker_json(w));
+		worker_reply(w, q, 200, worker_json(w));
 	else
-		reply(q, 409,
+		worker_reply(w, q, 409,
 			json_pack("{s:s,s:I}", "reason", "old", "clock_ms",
 				(json_int_t)now_ms()));
 }
@@ -592,7 +610,7 @@
 
 	free(arg);
 	if (fence < w->fence) {
-		reply(q, 409,
+		worker_reply(w, q, 409,
 			json_pack("{s:s,s:I}", "reason", "fence", "clock_ms",
 				(json_int_t)now_ms()));
 	} else if (strcmp(path, "/v1/run-start") == 0) {
@@ -607,7 +625,7 @@
 			if (strcmp(r->task, task) == 0)
 				r->stop_at = now_ms() + 100;
 		}
-		reply(q, 200, worker_json(w));
+		worker_reply(w, q, 200, worker_json(w));
 	} else {
 		struct waiting *h = xcalloc(1, sizeof(*h));
 		json_int_t seen = json_integer_value(json_object_get(in, "last_seen"));
