platform, entry: an entry that the store does not serve reaches it through the coordinator

Cause of the loss: with one entry a zone callers come back to the same entry and use up their tries there; with more, the first refusal costs 1 s (Retry-After) of the 0.5 to 1.5 s that an urgent job has. Ruled out: Retry-After 0 (in an outage of the whole store it burns all tries at once, and an entry cannot tell the two apart by itself). Change: the store client has a detour: exact reads and transactions that were refused, or that come while the store is silent, are carried by the coordinator's process, which has to reach the store to be one. An entry on the detour is not ready, so that new callers go elsewhere. Test: regress/platform (the store refuses the entry alone; the stand-in has a second door).

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -5,6 +5,8 @@
 EVENT(EV_LOG_DROPPED, "log-dropped", "lines", "log lines were dropped in the last second")
 EVENT(EV_STORE_LOST, "store-lost", "call status age_ms", "the store no longer answers")
 EVENT(EV_STORE_BACK, "store-back", "gap_ms", "the store answers again")
+EVENT(EV_DETOUR, "detour", "addr open why",
+	"calls to the store may go through this process, or no longer")
 EVENT(EV_CONFIG, "config", "version revision queues orgs", "another configuration is in force")
 EVENT(EV_CONFIG_BAD, "config-bad", "revision error",
 	"a configuration cannot be read; the last one stays")
--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -411,11 +411,45 @@
 	case WL_MSG_REPORT:
 	case WL_MSG_ANSWER:
 	case WL_MSG_PING:
+	case WL_MSG_STORE_CALL:
+	case WL_MSG_STORE_REPLY:
 	case WL_MSG_END:
 		break;
 	}
 }
 
+/* A call to the store that is carried for an entry. */
+struct carried {
+	struct wl_agent *agent;
+	peer_id peer;
+	uint64_t number;
+};
+
+static void carried_done(int status, const struct bytes *answer, void *arg)
+{
+	struct carried *c = arg;
+	const struct wl_msg m = {.kind = WL_MSG_STORE_REPLY,
+		.store_reply = {
+			.number = c->number, .status = (uint32_t)status, .body = *answer}};
+	struct bytes out = wl_msg_encode(&m);
+
+	peer_send(c->agent->net, c->peer, out.data, out.len);
+	bytes_clear(&out);
+	free(c);
+}
+
+/* Carry a call to the store for an entry that the store does not serve. */
+static void carry(struct wl_agent *a, peer_id peer, const struct wl_store_call *s)
+{
+	struct carried *c = xcalloc(1, sizeof(*c));
+
+	c->agent = a;
+	c->peer = peer;
+	c->number = s->number;
+	pf_store_forward(a->p->kv, s->method ? s->method : "", s->path ? s->path : "", &s->body,
+		(int64_t)s->timeout_ms * NSEC_PER_MSEC, carried_done, c);
+}
+
 /* Whether a kind of message goes from agents to the coordinator. */
 static bool for_coordinator(enum wl_msg_kind k)
 {
@@ -434,7 +468,9 @@
 		event_log(EV_BAD_INPUT, "from=peer what=\"%s\"", err->message);
 		return;
 	}
-	if (peer == a->peer && !for_coordinator(m.kind))
+	if (m.kind == WL_MSG_STORE_CALL)
+		carry(a, peer, &m.store_call);
+	else if (peer == a->peer && !for_coordinator(m.kind))
 		on_order(a, &m);
 	else if (a->coord != NULL)
 		wl_coord_message(a->coord, a->net, peer, &m);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -40,6 +40,10 @@
 /* Have a proof that is newer than since; fn is called with it or when it cannot be had. */
 void config_feed_prove(struct config_feed *f, int64_t since, loop_fn *fn, void *arg);
 
+/* wl-detour.c: an entry's way to the store through the coordinator's process. */
+struct wl_detour;
+struct wl_detour *wl_detour_new(struct wl_process *p);
+
 /* wl-entry.c */
 struct wl_entry;
 struct wl_entry *wl_entry_new(struct wl_process *p, GError **err);
--- a/packages/daemon/wl-entry.c
+++ b/packages/daemon/wl-entry.c
@@ -68,7 +68,8 @@
 {
 	struct wl_entry *e = arg;
 	int64_t age = config_feed_age(e->feed);
-	bool ready = !e->stopping && config_feed_get(e->feed) != NULL && age < READY_MAX_AGE;
+	bool ready = !e->stopping && config_feed_get(e->feed) != NULL && age < READY_MAX_AGE &&
+		     !kv_detoured(e->p->kv);
 
 	if (ready == e->ready)
 		return;
--- a/packages/daemon/wl-process.c
+++ b/packages/daemon/wl-process.c
@@ -152,8 +152,10 @@
 	g_autoptr(GError) err = NULL;
 	bool ok = open_process(&p, o, &err);
 
-	if (ok && role == WL_ROLE_ENTRY)
+	if (ok && role == WL_ROLE_ENTRY) {
+		wl_detour_new(&p.process);
 		ok = (p.entry = wl_entry_new(&p.process, &err)) != NULL;
+	}
 	if (ok && role == WL_ROLE_AGENT)
 		ok = (p.agent = wl_agent_new(&p.process, &err)) != NULL;
 	if (!ok) {
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -14,7 +14,9 @@
  * starts and tells what must not have happened. A task's payload is
  * "MILLISECONDS ACCELERATORS".
  *
- * standin-platform STORE CONFIG WORKER=APP,CONTROL ...
+ * standin-platform STORE CONFIG [door=ADDR] WORKER=APP,CONTROL ...
+ *
+ * A door is a second address of the store; {"door":false} has it refuse all that come by it.
  */
 
 #define ACCELERATORS 8 /* of each worker */
@@ -87,6 +89,7 @@
 static int64_t revision = 1;
 static int64_t next_lease = 100;
 static bool down;
+static bool door_shut;
 static json_int_t drop_answers;
 static json_int_t late_orders;
 static GPtrArray *late;
@@ -384,6 +387,8 @@
 
 	if (json_object_get(in, "down") != NULL)
 		down = json_is_true(json_object_get(in, "down"));
+	if (json_object_get(in, "door") != NULL)
+		door_shut = !json_is_true(json_object_get(in, "door"));
 	if (json_object_get(in, "drop_answers") != NULL)
 		drop_answers = json_integer_value(json_object_get(in, "drop_answers"));
 	if (json_object_get(in, "late_orders") != NULL)
@@ -409,6 +414,7 @@
 	char *prefix = ((void **)arg)[1];
 	char *after = ((void **)arg)[2];
 	char *wait = ((void **)arg)[3];
+	bool by_door = ((void **)arg)[4] != NULL;
 	const char *path = http_path(r);
 	const char *what = g_str_has_prefix(path, "/v1/") ? path + 4 : path;
 	const struct bytes *body = http_body(r);
@@ -417,7 +423,7 @@
 
 	if (strcmp(path, "/control") == 0) {
 		do_control(r, in);
-	} else if (down) {
+	} else if (down || (by_door && door_shut)) {
 		reply(r, 503, json_object());
 	} else if (strcmp(what, "kv-key") == 0) {
 		calls++;
@@ -453,10 +459,10 @@
 /* A call on the store, on a thread of the server: queries are read here. */
 static void on_store(struct http_request *r, void *arg)
 {
-	void **pack = xcalloc(4, sizeof(*pack));
+	void **pack = xcalloc(5, sizeof(*pack));
 	const char *key = http_query(r, "key");
 
-	(void)arg;
+	pack[4] = arg;
 	pack[0] = r;
 	pack[1] = xstrdup(key != NULL ? key : http_query(r, "prefix"));
 	pack[2] = xstrdup(http_query(r, "after") ? http_query(r, "after") : "0");
@@ -752,8 +758,8 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	if (argc < 3 || !g_file_get_contents(argv[2], &config, &len, NULL)) {
-		fprintf(stderr,
-			"usage: standin-platform STORE CONFIG WORKER=APP,CONTROL ...\n");
+		fprintf(stderr, "usage: standin-platform STORE CONFIG [door=ADDR] "
+				"WORKER=APP,CONTROL ...\n");
 		return 2;
 	}
 	loop = loop_new(&clock_system);
@@ -769,8 +775,13 @@
 	leases = g_array_new(FALSE, FALSE, sizeof(struct lease));
 	encoded = g_base64_encode((guchar *)config, len);
 	item_set("op/config", encoded, 0);
-	for (int i = 3; i < argc; i++)
-		add_worker(argv[i], &limits);
+	for (int i = 3; i < argc; i++) {
+		if (g_str_has_prefix(argv[i], "door="))
+			http_server_new(
+				argv[i] + strlen("door="), &limits, on_store, &door_shut, NULL);
+		else
+			add_worker(argv[i], &limits);
+	}
 	s = http_server_new(argv[1], &limits, on_store, NULL, NULL);
 	if (s == NULL)
 		return 1;
--- a/packages/state/kv.h
+++ b/packages/state/kv.h
@@ -87,7 +87,12 @@
 void kv_lease_end(struct kv *kv, int64_t lease, kv_fn *fn, void *arg);
 /* Calls under way; a process that stops waits for them. */
 unsigned int kv_open(const struct kv *kv);
-/* For how long calls have been open without the store answering any call; 0 where none are. */
+/* Whether the store does not serve this process and calls go through another. */
+bool kv_detoured(const struct kv *kv);
+/*
+ * For how long calls have been open without the store answering any call; 0 where none are, or
+ * where calls get through another process.
+ */
 int64_t kv_silence(const struct kv *kv);
 
 #endif
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -9,11 +9,12 @@
 	{                                                                                      \
 		.kind = (k), .offset = offsetof(struct s, f)                                   \
 	}
-#define U32(s, f)  FIELD(FIELD_U32, s, f)
-#define U64(s, f)  FIELD(FIELD_U64, s, f)
-#define I64(s, f)  FIELD(FIELD_I64, s, f)
-#define BOOL(s, f) FIELD(FIELD_BOOL, s, f)
-#define TEXT(s, f) FIELD(FIELD_TEXT, s, f)
+#define U32(s, f)   FIELD(FIELD_U32, s, f)
+#define U64(s, f)   FIELD(FIELD_U64, s, f)
+#define I64(s, f)   FIELD(FIELD_I64, s, f)
+#define BOOL(s, f)  FIELD(FIELD_BOOL, s, f)
+#define TEXT(s, f)  FIELD(FIELD_TEXT, s, f)
+#define BYTES(s, f) FIELD(FIELD_BYTES, s, f)
 #define LIST(s, f, t)                                                                          \
 	{                                                                                      \
 		.kind = FIELD_LIST, .offset = offsetof(struct s, f),                           \
@@ -201,6 +202,22 @@
 };
 static const struct field_table wl_ping_fields = TABLE(wl_ping);
 
+static const struct field wl_store_call_list[] = {
+	U64(wl_store_call, number),
+	TEXT(wl_store_call, method),
+	TEXT(wl_store_call, path),
+	BYTES(wl_store_call, body),
+	U32(wl_store_call, timeout_ms),
+};
+static const struct field_table wl_store_call_fields = TABLE(wl_store_call);
+
+static const struct field wl_store_reply_list[] = {
+	U64(wl_store_reply, number),
+	U32(wl_store_reply, status),
+	BYTES(wl_store_reply, body),
+};
+static const struct field_table wl_store_reply_fields = TABLE(wl_store_reply);
+
 static const struct field_table *const tables[WL_MSG_END] = {
 	[WL_MSG_HELLO] = &wl_hello_fields,
 	[WL_MSG_LEAD_BEAT] = &wl_lead_beat_fields,
@@ -211,6 +228,8 @@
 	[WL_MSG_PACE] = &wl_pace_order_fields,
 	[WL_MSG_STORED] = &wl_stored_fields,
 	[WL_MSG_PING] = &wl_ping_fields,
+	[WL_MSG_STORE_CALL] = &wl_store_call_fields,
+	[WL_MSG_STORE_REPLY] = &wl_store_reply_fields,
 };
 
 /* Encode a message: its kind as one byte, then its fields. */
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -276,6 +276,20 @@
 	uint64_t sent_ns;
 };
 
+/* Entry to agent: carry a call to the store, which does not serve the entry's VM. */
+struct wl_store_call {
+	uint64_t number;
+	char *method;
+	char *path;
+	struct bytes body;
+	uint32_t timeout_ms;
+};
+struct wl_store_reply {
+	uint64_t number;
+	uint32_t status; /* of HTTP; 0 where no answer came */
+	struct bytes body;
+};
+
 enum wl_msg_kind {
 	WL_MSG_HELLO = 64,
 	WL_MSG_LEAD_BEAT,
@@ -286,6 +300,8 @@
 	WL_MSG_PACE,
 	WL_MSG_STORED,
 	WL_MSG_PING,
+	WL_MSG_STORE_CALL,
+	WL_MSG_STORE_REPLY,
 	WL_MSG_END
 };
 struct wl_msg {
@@ -300,6 +316,8 @@
 		struct wl_pace_order pace;
 		struct wl_stored stored;
 		struct wl_ping ping;
+		struct wl_store_call store_call;
+		struct wl_store_reply store_reply;
 	};
 };
 struct bytes wl_msg_encode(const struct wl_msg *m);
