workload: an urgent unit waits for room that comes by itself in time

Pattern: an urgent job comes while whole workers are taken. Ruled out: headroom (it is in use then), other victims (each loses what it has done). Change: before anything is stopped, the unit looks when room comes by itself, counting only runs whose progress is known; within its slack, and within the bound of a guarantee less the time of a claim, that room is kept for it. Test: unit "an urgent job waits for room that comes in time" (a stop before; with 10 % done it is stopped as before).

--- a/packages/workload/wl-health.c
+++ b/packages/workload/wl-health.c
@@ -11,6 +11,13 @@
 /* Progress that was seen for less time says nothing of the rest. */
 #define PROGRESS_MIN (300 * NSEC_PER_MSEC)
 
+/* Whether a run's progress says how long it takes. */
+bool task_shows_progress(const struct wl_task *t)
+{
+	return t->phase == TASK_RUNNING && t->percent > t->base_percent &&
+	       t->percent_at - t->base_at >= PROGRESS_MIN;
+}
+
 /* How long a run still takes, by its progress, or by its estimate before there is any. */
 int64_t task_remaining(const struct wl_task *t, int64_t now)
 {
@@ -20,7 +27,7 @@
 	uint32_t made = t->percent - MIN(t->base_percent, t->percent);
 	uint32_t left = 100 - MIN(t->percent, 100u);
 
-	if (made == 0 || seen < PROGRESS_MIN)
+	if (!task_shows_progress(t))
 		return MAX(estimate * (100 - MIN(t->base_percent, 100u)) / 100 - ran, 0);
 	/* What was listed is older than now by up to a report's period. */
 	return MAX(seen * left / made - (now - t->percent_at), 0);
--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -21,8 +21,8 @@
 }
 
 /* When a worker will have room for a need, and how much then; INT64_MAX for never. */
-static int64_t room_at(
-	const struct wl_node *n, const struct wl_need *need, int64_t now, struct wl_room *room)
+static int64_t room_at(const struct wl_node *n, const struct wl_need *need, int64_t now,
+	enum keep_trust trust, struct wl_room *room)
 {
 	g_autoptr(GArray) ends = g_array_new(FALSE, FALSE, sizeof(struct freeing));
 	const struct wl_task *t;
@@ -33,6 +33,9 @@
 
 		if (t->unit->step->long_running && t->phase == TASK_RUNNING)
 			continue;
+		if (trust == KEEP_PROGRESS && t->phase != TASK_STOPPING &&
+			t->phase != TASK_DONE && !task_shows_progress(t))
+			continue;
 		if (t->phase == TASK_PLACED || t->phase == TASK_STARTING)
 			f.at = now + step_estimate(t->unit->job, t->unit->step);
 		else if (t->phase == TASK_RUNNING)
@@ -81,7 +84,8 @@
 
 /* The workers that will have room for a task of the unit and keep none yet, the first ones
  * first. */
-static GArray *places_in_time(struct wl *w, const struct wl_unit *u, int64_t now)
+static GArray *places_in_time(
+	struct wl *w, const struct wl_unit *u, int64_t now, enum keep_trust trust)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct kept));
 	struct wl_need need = task_need(u->step);
@@ -91,7 +95,7 @@
 
 		if (!node_suits(k.node, u, now) || k.node->kept_from != 0)
 			continue;
-		k.at = room_at(k.node, &need, now, &k.beside);
+		k.at = room_at(k.node, &need, now, trust, &k.beside);
 		if (k.at != INT64_MAX)
 			g_array_append_val(out, k);
 	}
@@ -127,36 +131,48 @@
 	return left > 0 ? INT64_MAX : last;
 }
 
-/* Keep room for the waiting tasks of a unit where it comes first. */
-void keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere)
+/* Find where room for all waiting tasks comes first; returns when, INT64_MAX for never. */
+static int64_t plan_first(struct wl *w, const struct wl_unit *u, int64_t now, bool anywhere,
+	enum keep_trust trust, GArray *best)
 {
-	g_autoptr(GArray) best = g_array_new(FALSE, FALSE, sizeof(struct kept));
 	g_autoptr(GArray) trial = g_array_new(FALSE, FALSE, sizeof(struct kept));
-	g_autoptr(GArray) places = places_in_time(w, u, now);
+	g_autoptr(GArray) places = places_in_time(w, u, now, trust);
+	g_autoptr(GPtrArray) racks = NULL;
 	int64_t first = INT64_MAX;
 
-	if (u->step->rack_local && u->step->data_rack == NULL && !anywhere) {
-		g_autoptr(GPtrArray) racks = racks_of(w);
+	if (!u->step->rack_local || u->step->data_rack != NULL || anywhere)
+		return plan_keep(u, now, places, anywhere ? NULL : u->step->data_rack, best);
+	racks = racks_of(w);
+	for (guint i = 0; i < racks->len; i++) {
+		int64_t at = plan_keep(u, now, places, racks->pdata[i], trial);
 
-		for (guint i = 0; i < racks->len; i++) {
-			int64_t at = plan_keep(u, now, places, racks->pdata[i], trial);
+		if (at >= first)
+			continue;
+		first = at;
+		g_array_set_size(best, 0);
+		g_array_append_vals(best, trial->data, trial->len);
+	}
+	return first;
+}
 
-			if (at < first) {
-				GArray *swap = best;
+/*
+ * Keep room for the waiting tasks of a unit where it comes first, if that is not after until;
+ * false, with nothing kept, where it is.
+ */
+bool keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere,
+	enum keep_trust trust, int64_t until)
+{
+	g_autoptr(GArray) best = g_array_new(FALSE, FALSE, sizeof(struct kept));
+	int64_t first = plan_first(w, u, now, anywhere, trust, best);
 
-				best = trial;
-				trial = swap;
-				first = at;
-			}
-		}
-	} else {
-		first = plan_keep(u, now, places, anywhere ? NULL : u->step->data_rack, best);
-	}
-	for (guint i = 0; first != INT64_MAX && i < best->len; i++) {
+	if (first == INT64_MAX || first > until)
+		return false;
+	for (guint i = 0; i < best->len; i++) {
 		const struct kept *k = &g_array_index(best, struct kept, i);
 
 		/* A gang needs all of them at once. */
 		k->node->kept_from = u->step->gang ? first : MAX(k->at, now + 1);
 		k->node->beside_kept = k->beside;
 	}
+	return true;
 }
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -16,6 +16,8 @@
 #define LATE_FACTOR 3
 /* Room is made for an urgent unit so long before it is too late. */
 #define PRESSED_MARGIN (500 * NSEC_PER_MSEC)
+/* What a claim takes besides the stops: two messages and a write, and a lost answer of one. */
+#define CLAIM_MARGIN (900 * NSEC_PER_MSEC)
 /* Without events, a pass after at most this. */
 #define PASS_IDLE NSEC_PER_SEC
 
@@ -212,6 +214,21 @@
 	       c->slack < w->limits.stop_max + PRESSED_MARGIN;
 }
 
+/*
+ * Whether room will come by itself before an urgent unit would be late: then nothing is stopped
+ * for it, and that room is kept.
+ */
+static bool waits_for_room(struct wl *w, const struct candidate *c, int64_t now)
+{
+	int64_t claimed_by = c->unit->job->added_at + w->limits.reclaim_max -
+			     w->limits.stop_max - CLAIM_MARGIN;
+	int64_t until = MIN(now + c->slack - PRESSED_MARGIN, claimed_by);
+
+	return c->tier == 0 && until > now &&
+	       keep_room(
+		       w, c->unit, now, unit_may_spread(w, c->unit, now), KEEP_PROGRESS, until);
+}
+
 /* Place a unit, wait for room that is being freed, or make room for it. */
 static void decide(struct wl *w, struct candidate *c, int64_t now, unsigned int *reservations)
 {
@@ -233,13 +250,17 @@
 		}
 		plan_undo(plan, 0, PLAN_SOON);
 	}
-	if ((c->entitled || is_pressed(w, c)) && reclaim_for(w, u, now, c->entitled, plan)) {
-		mirror(plan, PLAN_SOON);
-		return;
+	if (c->entitled || is_pressed(w, c)) {
+		if (waits_for_room(w, c, now))
+			return;
+		if (reclaim_for(w, u, now, c->entitled, plan)) {
+			mirror(plan, PLAN_SOON);
+			return;
+		}
 	}
 	if (*reservations < RESERVATIONS_MAX) {
 		(*reservations)++;
-		keep_room(w, u, now, unit_may_spread(w, u, now));
+		keep_room(w, u, now, unit_may_spread(w, u, now), KEEP_ESTIMATES, INT64_MAX - 1);
 	}
 }
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -249,13 +249,20 @@
 void headroom_choose(struct wl *w);
 
 /* wl-keep.c */
-void keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere);
+enum keep_trust {
+	KEEP_ESTIMATES,
+	/* Runs that have not shown any progress count as never ending. */
+	KEEP_PROGRESS
+};
+bool keep_room(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere,
+	enum keep_trust trust, int64_t until);
 
 /* wl-learn.c */
 void learn_run(struct wl_task *t, int64_t took);
 int64_t step_estimate(struct wl_job *j, const struct wl_step *s);
 
 /* wl-health.c */
+bool task_shows_progress(const struct wl_task *t);
 int64_t task_remaining(const struct wl_task *t, int64_t now);
 void task_progress(struct wl_task *t, int64_t now, uint32_t percent);
 void health_check(struct wl *w, int64_t now);
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -245,6 +245,31 @@
 	bed_close(&b);
 }
 
+/* Pattern: an urgent job on a full worker where a run is about to end: nothing is stopped for
+ * it. */
+static void test_waits_for_room(void)
+{
+	const unsigned int percents[] = {90, 10};
+
+	for (size_t i = 0; i < ARRAY_LEN(percents); i++) {
+		struct bed b;
+		struct wl_run run = {.task = (char *)"0000000000000001.0.0.0", .attempt = 1};
+
+		bed_open(&b);
+		report(&b, "w1", NULL, 0, NULL, 0);
+		submit(&b, 1, "batch", 1, 8, 9000, false);
+		pass(&b);
+		report(&b, "w1", &run, 1, NULL, 0);
+		b.now += 1800 * MS;
+		run.percent = percents[i];
+		report(&b, "w1", &run, 1, NULL, 0);
+		submit(&b, 2, "urgent", 1, 8, 2000, false);
+		pass(&b);
+		CU_ASSERT_EQUAL(b.stops, percents[i] == 90 ? 0 : 1);
+		bed_close(&b);
+	}
+}
+
 /* Pattern: a large task behind small ones; later small ones may not take what it waits for. */
 static void test_room_is_kept(void)
 {
@@ -620,6 +645,7 @@
 	CU_add_test(s, "a place is stored before the start", test_place_before_start);
 	CU_add_test(s, "headroom for urgent work", test_headroom);
 	CU_add_test(s, "a guarantee is reclaimed", test_reclaim);
+	CU_add_test(s, "an urgent job waits for room that comes in time", test_waits_for_room);
 	CU_add_test(s, "room is kept for a large task", test_room_is_kept);
 	CU_add_test(s, "a unit waits for its rack", test_waits_for_rack);
 	CU_add_test(s, "a gang starts whole", test_gang_whole);
