--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -1,4 +1,4 @@
-#include "wl-daemon.h"
+#include "wl-coord-private.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -16,9 +16,6 @@
 #define CONFIG_PERIOD NSEC_PER_SEC
 #define KEEP_PERIOD   (700 * NSEC_PER_MSEC)
 #define SWEEP_PERIOD  (500 * NSEC_PER_MSEC)
-/* A watch that is silent for longer may be dead; a new one is cheap. */
-#define WATCH_WAIT_MS 1500
-#define WATCH_PAUSE   (200 * NSEC_PER_MSEC)
 /* An agent reports about once a second; after this it is taken to be out of reach. */
 #define AGENT_SILENCE (3500 * NSEC_PER_MSEC)
 /* No starts are ordered on a term that the store has not confirmed for so long. */
@@ -30,47 +27,6 @@
 /* Room for callers that ask for a job's state late. */
 #define RETENTION_EXTRA (30 * NSEC_PER_SEC)
 
-struct member {
-	char *node;
-	struct peer_net *net;
-	peer_id peer;
-	int64_t heard;
-	struct wl_msg held; /* a report that waits until the node's record is stored */
-	bool has_held;
-};
-
-struct wl_coord {
-	struct wl_process *p;
-	struct wl_coord_events ev;
-	struct wl *wl;
-	struct record_writer *records;
-	struct config_feed *feed;
-	uint64_t term;
-	int64_t term_revision;
-	int64_t lease;
-	int64_t confirmed;
-	bool keeping;
-	bool loaded;
-	bool stopping;
-	bool lost;
-	bool freed;
-	unsigned int calls;
-	int64_t watch_at;
-	bool listing;
-	GHashTable *states;  /* stored progress by job id, until its job is read */
-	GHashTable *cancels; /* ids of jobs to be cancelled once they are read */
-	GPtrArray *members;
-	struct loop_timer *keep_timer;
-	struct loop_timer *sweep_timer;
-	struct loop_timer *pass_timer;
-	int64_t pass_ended;
-	int64_t pass_took;
-	struct loop_timer *watch_timer;
-	unsigned int jobs;
-};
-
-static void watch(struct wl_coord *c);
-static void list_inbox(struct wl_coord *c, const char *after);
 static void coord_release(struct wl_coord *c);
 
 uint64_t wl_coord_term(const struct wl_coord *c)
@@ -79,7 +35,7 @@
 }
 
 /* A call of ours has ended; false where the coordinator is only waiting to be freed. */
-static bool call_ended(struct wl_coord *c)
+bool coord_call_ended(struct wl_coord *c)
 {
 	c->calls--;
 	if (!c->freed)
@@ -89,7 +45,7 @@
 }
 
 /* Stop coordinating; the owner frees us. */
-static void lose(struct wl_coord *c, const char *why)
+void coord_lose(struct wl_coord *c, const char *why)
 {
 	if (c->lost)
 		return;
@@ -191,7 +147,7 @@
  * Something came: decide soon if it may let work start. Passes take at most half of the time,
  * so that messages are not kept waiting where a pass is long.
  */
-static void pass_soon(struct wl_coord *c)
+void coord_pass_soon(struct wl_coord *c)
 {
 	if (wl_wants_pass(c->wl))
 		schedule_pass(c, MAX(c->pass_ended + c->pass_took - loop_now(c->p->loop), 0));
@@ -230,7 +186,7 @@
 {
 	wl_node_report(c->wl, loop_now(c->p->loop), clock_wall(loop_clock(c->p->loop)), r);
 	tell_stored(c);
-	pass_soon(c);
+	coord_pass_soon(c);
 }
 
 /* Records were stored: reports that waited for them, and ends that may be forgotten. */
@@ -248,12 +204,12 @@
 		wl_msg_clear(&m->held);
 	}
 	tell_stored(c);
-	pass_soon(c);
+	coord_pass_soon(c);
 }
 
 static void on_records_lost(void *arg)
 {
-	lose(arg, "the store has another term");
+	coord_lose(arg, "the store has another term");
 }
 
 /* A report: the node has to be on record before it may get tasks. */
@@ -321,7 +277,7 @@
 		on_report(c, m, msg);
 	} else if (msg->kind == WL_MSG_ANSWER && msg->answer.term == c->term) {
 		wl_node_answer(c->wl, m->heard, &msg->answer);
-		pass_soon(c);
+		coord_pass_soon(c);
 	}
 }
 
@@ -333,7 +289,7 @@
 		wl_msg_clear(&m->held);
 	m->has_held = false;
 	wl_node_silent(c->wl, loop_now(c->p->loop), m->node);
-	pass_soon(c);
+	coord_pass_soon(c);
 }
 
 /* A connection is closed. */
@@ -353,12 +309,12 @@
 	struct wl_coord *c = arg;
 
 	c->keeping = false;
-	if (!call_ended(c))
+	if (!coord_call_ended(c))
 		return;
 	if (r->status == KV_OK)
 		c->confirmed = MAX(c->confirmed, r->sent);
 	else if (r->status == KV_MISSING)
-		lose(c, "its lease has run out");
+		coord_lose(c, "its lease has run out");
 }
 
 /* Renew the lease of our key. */
@@ -394,137 +350,15 @@
 	gone = wl_nodes_gone(c->wl, now);
 	for (guint i = 0; i < gone->len; i++) {
 		record_writer_node(c->records, gone->pdata[i], false);
-		pass_soon(c);
+		coord_pass_soon(c);
 	}
 	expired = wl_jobs_expired(c->wl, clock_wall(loop_clock(c->p->loop)));
 	for (guint i = 0; i < expired->len; i++)
 		record_writer_remove(c->records, expired->pdata[i]);
 }
 
-/* Take a job that an entry has stored. */
-static void take_job(struct wl_coord *c, const struct kv_item *it)
-{
-	struct wl_spec spec = {0};
-	const struct bytes *state;
-	struct wl_progress p = {0};
-	bool has_state = false;
-	g_autoptr(GError) err = NULL;
-	int64_t now = loop_now(c->p->loop);
-	const char *id = it->key + strlen(KEY_JOB);
-	uint64_t tasks = 0;
-
-	if (wl_job_has(c->wl, id))
-		return;
-	if (!fields_decode(&wl_spec_fields, &spec, it->value.data, it->value.len, &err) ||
-		!wl_spec_check(&spec, &err) || strcmp(spec.id, id) != 0) {
-		event_log(EV_BAD_INPUT, "from=store what=\"%s: %s\"", it->key,
-			err != NULL ? err->message : "another id");
-		fields_clear(&wl_spec_fields, &spec);
-		return;
-	}
-	state = g_hash_table_lookup(c->states, id);
-	if (state != NULL)
-		has_state =
-			fields_decode(&wl_progress_fields, &p, state->data, state->len, NULL);
-	record_writer_known(c->records, id, it->revision);
-	for (uint32_t s = 0; s < spec.steps_len; s++)
-		tasks += spec.steps[s].count;
-	event_log(EV_JOB_SEEN,
-		"job=%s queue=%s org=%s tasks=%" PRIu64
-		" accelerators=%u cores_m=%u estimate_ms=%u gang=%d rack_local=%d "
-		"repetitions=%u "
-		"state=%s revision=%" PRId64,
-		id, spec.queue, spec.org ? spec.org : "-", tasks, spec.steps[0].accelerators,
-		spec.steps[0].cores_m, spec.steps[0].estimate_ms, spec.steps[0].gang,
-		spec.steps[0].rack_local, spec.repetitions,
-		has_state ? wl_state_name(p.state) : "new", it->revision);
-	wl_job_add(
-		c->wl, now, clock_wall(loop_clock(c->p->loop)), &spec, has_state ? &p : NULL);
-	c->jobs++;
-	g_hash_table_remove(c->states, id);
-	fields_clear(&wl_spec_fields, &spec);
-	fields_clear(&wl_progress_fields, &p);
-	if (g_hash_table_remove(c->cancels, id))
-		wl_job_cancel(c->wl, now, clock_wall(loop_clock(c->p->loop)), id);
-}
-
-/* Cancel a job, or keep the wish until the job is read: its key may come first. */
-static void take_cancel(struct wl_coord *c, const char *id)
-{
-	if (wl_job_has(c->wl, id))
-		wl_job_cancel(
-			c->wl, loop_now(c->p->loop), clock_wall(loop_clock(c->p->loop)), id);
-	else
-		g_hash_table_add(c->cancels, g_strdup(id));
-}
-
-/* Take one entry of the inbox. */
-static void take_inbox(struct wl_coord *c, const struct kv_item *it)
-{
-	if (it->deleted)
-		return;
-	if (g_str_has_prefix(it->key, KEY_JOB)) {
-		take_job(c, it);
-	} else if (g_str_has_prefix(it->key, KEY_CANCEL)) {
-		take_cancel(c, it->key + strlen(KEY_CANCEL));
-	} else if (strcmp(it->key, KEY_TERM) == 0 && it->revision > c->term_revision) {
-		lose(c, "another term was taken");
-	}
-}
-
-/* Watch again after a pause. */
-static void on_watch_timer(void *arg)
-{
-	struct wl_coord *c = arg;
-
-	c->watch_timer = NULL;
-	watch(c);
-}
-
-/* The inbox has changed, or has not for a while. */
-static void watched(const struct kv_result *r, void *arg)
-{
-	struct wl_coord *c = arg;
-
-	if (!call_ended(c) || c->lost)
-		return;
-	switch (r->status) {
-	case KV_OK:
-		for (size_t i = 0; i < r->items_len && !c->lost; i++)
-			take_inbox(c, &r->items[i]);
-		if (r->at > c->watch_at)
-			c->watch_at = r->at;
-		if (c->lost)
-			return;
-		if (r->items_len > 0)
-			pass_soon(c);
-		watch(c);
-		return;
-	case KV_MISSING:
-		c->watch_at = 0;
-		list_inbox(c, NULL);
-		return;
-	case KV_CONFLICT:
-	case KV_REFUSED:
-	case KV_UNSURE:
-		break;
-	}
-	if (c->watch_timer == NULL)
-		c->watch_timer = loop_timer_add(c->p->loop,
-			r->status == KV_UNSURE ? 0 : WATCH_PAUSE, 0, on_watch_timer, c);
-}
-
-/* Wait for changes of the inbox. */
-static void watch(struct wl_coord *c)
-{
-	if (c->lost || c->freed)
-		return;
-	c->calls++;
-	kv_watch(c->p->kv, KEY_INBOX, c->watch_at, WATCH_WAIT_MS, watched, c);
-}
-
 /* Agents that reported before the jobs were read. */
-static void take_held(struct wl_coord *c)
+void coord_take_held(struct wl_coord *c)
 {
 	for (guint i = 0; i < c->members->len; i++) {
 		struct member *m = c->members->pdata[i];
@@ -541,72 +375,7 @@
 	}
 }
 
-/* All is read. */
-static void load_done(struct wl_coord *c)
-{
-	if (!c->loaded) {
-		c->loaded = true;
-		event_log(EV_TERM_TAKEN,
-			"term=%" PRIu64 " revision=%" PRId64 " jobs=%u nodes=%zu", c->term,
-			c->term_revision, c->jobs, wl_node_count(c->wl));
-		take_held(c);
-	}
-	pass_soon(c);
-	watch(c);
-}
-
-/* Read a page again after a pause. */
-static void on_list_again(void *arg)
-{
-	struct wl_coord *c = arg;
-
-	c->watch_timer = NULL;
-	list_inbox(c, NULL);
-}
-
-/* One page of the inbox was read. */
-static void inbox_read(const struct kv_result *r, void *arg)
-{
-	struct wl_coord *c = arg;
-
-	if (!call_ended(c) || c->lost)
-		return;
-	if (r->status != KV_OK) {
-		c->watch_at = 0;
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_list_again, c);
-		return;
-	}
-	if (c->watch_at == 0)
-		c->watch_at = r->at;
-	for (size_t i = 0; i < r->items_len && !c->lost; i++)
-		take_inbox(c, &r->items[i]);
-	if (c->lost)
-		return;
-	if (r->more && r->items_len > 0)
-		list_inbox(c, r->items[r->items_len - 1].key);
-	else
-		load_done(c);
-}
-
-/* Read the inbox from behind a key. */
-static void list_inbox(struct wl_coord *c, const char *after)
-{
-	c->calls++;
-	kv_list(c->p->kv, KEY_INBOX, after, KV_READ_EXACT, inbox_read, c);
-}
-
-static void list_states(struct wl_coord *c, const char *after);
-static void list_nodes(struct wl_coord *c, const char *after);
-
-/* Begin to load again after a pause. */
-static void on_load_again(void *arg)
-{
-	struct wl_coord *c = arg;
-
-	c->watch_timer = NULL;
-	list_nodes(c, NULL);
-}
-
+/* Free a stored progress. */
 static void states_free(void *arg)
 {
 	struct bytes *b = arg;
@@ -615,73 +384,13 @@
 	free(b);
 }
 
-/* One page of the progress records was read. */
-static void states_read(const struct kv_result *r, void *arg)
-{
-	struct wl_coord *c = arg;
-
-	if (!call_ended(c) || c->lost)
-		return;
-	if (r->status != KV_OK) {
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_load_again, c);
-		return;
-	}
-	for (size_t i = 0; i < r->items_len; i++) {
-		const char *id = r->items[i].key + strlen(KEY_PROGRESS);
-		struct bytes *b = xcalloc(1, sizeof(*b));
-
-		*b = bytes_copy(r->items[i].value.data, r->items[i].value.len);
-		g_hash_table_replace(c->states, g_strdup(id), b);
-		record_writer_known(c->records, id, r->items[i].revision);
-	}
-	if (r->more && r->items_len > 0)
-		list_states(c, r->items[r->items_len - 1].key);
-	else
-		list_inbox(c, NULL);
-}
-
-static void list_states(struct wl_coord *c, const char *after)
-{
-	c->calls++;
-	kv_list(c->p->kv, KEY_PROGRESS, after, KV_READ_EXACT, states_read, c);
-}
-
-/* One page of the nodes was read. */
-static void nodes_read(const struct kv_result *r, void *arg)
-{
-	struct wl_coord *c = arg;
-
-	if (!call_ended(c) || c->lost)
-		return;
-	if (r->status != KV_OK) {
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_load_again, c);
-		return;
-	}
-	for (size_t i = 0; i < r->items_len; i++) {
-		const char *node = r->items[i].key + strlen(KEY_NODE);
-
-		record_writer_node_found(c->records, node);
-		wl_node_expect(c->wl, loop_now(c->p->loop), node);
-	}
-	if (r->more && r->items_len > 0)
-		list_nodes(c, r->items[r->items_len - 1].key);
-	else
-		list_states(c, NULL);
-}
-
-static void list_nodes(struct wl_coord *c, const char *after)
-{
-	c->calls++;
-	kv_list(c->p->kv, KEY_NODE, after, KV_READ_EXACT, nodes_read, c);
-}
-
 /* Another configuration is in force. */
 static void on_config(void *arg)
 {
 	struct wl_coord *c = arg;
 
 	wl_set_config(c->wl, config_feed_get(c->feed));
-	pass_soon(c);
+	coord_pass_soon(c);
 }
 
 /* Coordinate under a term that was taken with this lease. */
@@ -717,7 +426,7 @@
 	c->feed = config_feed_new(p, CONFIG_PERIOD, on_config, c);
 	c->keep_timer = loop_timer_add(p->loop, KEEP_PERIOD, KEEP_PERIOD, keep, c);
 	c->sweep_timer = loop_timer_add(p->loop, SWEEP_PERIOD, SWEEP_PERIOD, sweep, c);
-	list_nodes(c, NULL);
+	inbox_load(c);
 	return c;
 }
 
@@ -727,7 +436,7 @@
 	struct wl_coord *c = arg;
 
 	(void)r;
-	call_ended(c);
+	coord_call_ended(c);
 }
 
 /* Hand over: no more orders, agents are told, and the lease is given back for the next one. */
