agent: a start that is refused as old after an earlier send waits for the lists

Found by reading the change that sends orders again: the first start may have been carried out and have ended before the second is refused as old. If the lists were lost in that moment too, the coordinator took the task for not run and placed it again. Test: regress/platform (the answer to a start and the lists are lost): 2 starts before, 1 after. Ruled out: the same with the lists in time (passes before: the end is seen first). Change: such a refusal only proves that the start comes too late; its outcome is left to a list that was asked for later, and a list is handed on before the starts that it settles.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -188,6 +188,15 @@
 		s->unsure = true;
 }
 
+/*
+ * Whether an answer says only that the start comes too late: where it was sent before, the
+ * worker may have run it and listed its end, which the coordinator has to see first.
+ */
+static bool may_have_ended(const struct open_start *s, enum pf_reply_kind k)
+{
+	return k == PF_REPLY_OLD && s->sends > 1;
+}
+
 /* The worker answered to a start, or not. */
 static void start_done(struct http_call *c, void *arg)
 {
@@ -204,6 +213,9 @@
 		open_free(s);
 	} else if (r.kind == PF_REPLY_NONE) {
 		start_unanswered(w, s);
+	} else if (may_have_ended(s, r.kind)) {
+		s->unsure = true;
+		s->void_since = now_of(w);
 	} else {
 		open_answer(w, s, answer_of(r.kind));
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -131,8 +131,9 @@
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->ev.fenced(w->ev.arg);
 		if (r.kind == PF_REPLY_OK && wc->term == w->term && w->life != NULL) {
-			worker_settle_unsure(w, &r, w->hold_sent);
+			/* A run that has ended is told as that, not as a start that is void. */
 			report(w, &r);
+			worker_settle_unsure(w, &r, w->hold_sent);
 		}
 		if (r.ends_len > 0)
 			w->ends_listed = MAX(w->ends_listed, r.ends[r.ends_len - 1].number);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -10,6 +10,7 @@
  * Stands in for the users' platform in tests: its store, and workers that run tasks under
  * leases. One process; all of it runs on one loop. POST /control on the store changes how it
  * behaves: {"down":true}, {"drop_answers":3}, {"crash":"WORKER"}, {"late_orders":2},
+ * {"lost_starts":1} and {"lost_holds":1}, which are carried out and never answered,
  * {"mute":"WORKER"}, which carries out calls and answers none; the answer counts calls and
  * starts and tells what must not have happened. A task's payload is
  * "MILLISECONDS ACCELERATORS".
@@ -92,6 +93,8 @@
 static bool door_shut;
 static json_int_t drop_answers;
 static json_int_t late_orders;
+static json_int_t lost_starts;
+static json_int_t lost_holds;
 static GPtrArray *late;
 /* What the system has done: jobs that began, tasks whose end was noted, and what was wrong. */
 static GHashTable *begun;
@@ -205,7 +208,10 @@
 {
 	if (json_array_size(w->worker->finished) == 0 && now_ms() < w->until)
 		return false;
-	worker_reply(w->worker, w->request, 200, worker_json(w->worker));
+	if (lost_holds > 0)
+		lost_holds--;
+	else
+		worker_reply(w->worker, w->request, 200, worker_json(w->worker));
 	return true;
 }
 
@@ -393,6 +399,10 @@
 		drop_answers = json_integer_value(json_object_get(in, "drop_answers"));
 	if (json_object_get(in, "late_orders") != NULL)
 		late_orders = json_integer_value(json_object_get(in, "late_orders"));
+	if (json_object_get(in, "lost_holds") != NULL)
+		lost_holds = json_integer_value(json_object_get(in, "lost_holds"));
+	if (json_object_get(in, "lost_starts") != NULL)
+		lost_starts = json_integer_value(json_object_get(in, "lost_starts"));
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
@@ -581,6 +591,11 @@
 		http_reply(q, 500, NULL, "", 0);
 		return;
 	}
+	if (lost_starts > 0) {
+		lost_starts--;
+		run_start(w, in);
+		return;
+	}
 	if (run_start(w, in))
 		worker_reply(w, q, 200, worker_json(w));
 	else
