--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,9 @@
 bench-scale: all $(BUILD)/bench-scale
 	@$(BUILD)/bench-scale $(BUILD)
 
+bench-workload: $(BUILD)/bench-workload
+	@for n in 62 100 200 400; do $(BUILD)/bench-workload $$n 10 1.2; done
+
 bench-path: all $(BUILD)/bench-path $(BUILD)/run-scenario
 	@scripts/bench-path
 
@@ -104,4 +107,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all tests faults bench-scale bench-path bench-policy packages demo check clean
+.PHONY: all tests faults bench-workload bench-scale bench-path bench-policy packages demo check clean
--- a/packages/bench/bench-workload.c
+++ b/packages/bench/bench-workload.c
@@ -334,10 +334,13 @@
 		}
 		store(&s);
 	}
-	printf("workers=%u load=%.1f jobs=%u starts=%u stops=%u done=%u cpu_a_second=%.4f "
-	       "passes_a_second=%.1f "
-	       "pass_mean_ms=%.3f pass_worst_ms=%.2f\n",
-		workers, load, s.jobs, s.starts, s.stops, s.done, (cpu_now() - begin) / seconds,
-		passes / seconds, 1000 * pass_cpu / passes, 1000 * worst);
+	printf("workload what=workload_cpu n=%u load=%.1f value=%.2f unit=percent_of_core\n",
+		workers, load, 100 * (cpu_now() - begin) / seconds);
+	printf("workload what=workload_pass n=%u load=%.1f value=%.3f unit=ms\n", workers, load,
+		1000 * pass_cpu / passes);
+	printf("workload what=workload_pass_worst n=%u load=%.1f value=%.2f unit=ms\n", workers,
+		load, 1000 * worst);
+	printf("# jobs=%u starts=%u stops=%u done=%u passes_a_second=%.1f\n", s.jobs, s.starts,
+		s.stops, s.done, passes / seconds);
 	return 0;
 }
