workload, soak: one margin, no unused parameter; a crash of the stand-in's worker ends its connections

Read as a newcomer: node_suits no longer looks at the time (the pass has), the margin of a claim stood twice, faults of the soak are printed by name.

The stand-in's worker kept its connections over a crash, which no process can; the soak closes them with the crash now.

--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -93,7 +93,7 @@
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct kept k = {.node = w->nodes->pdata[i]};
 
-		if (!node_suits(k.node, u, now) || k.node->kept_from != 0)
+		if (!node_suits(k.node, u) || k.node->kept_from != 0)
 			continue;
 		k.at = room_at(k.node, &need, now, trust, &k.beside);
 		if (k.at != INT64_MAX)
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -16,8 +16,6 @@
 #define LATE_FACTOR 3
 /* Room is made for an urgent unit so long before it is too late. */
 #define PRESSED_MARGIN (500 * NSEC_PER_MSEC)
-/* What a claim takes besides the stops: two messages and a write, and a lost answer of one. */
-#define CLAIM_MARGIN (900 * NSEC_PER_MSEC)
 /* Without events, a pass after at most this. */
 #define PASS_IDLE NSEC_PER_SEC
 
@@ -221,7 +219,7 @@
 static bool waits_for_room(struct wl *w, const struct candidate *c, int64_t now)
 {
 	int64_t claimed_by = c->unit->job->added_at + w->limits.reclaim_max -
-			     w->limits.stop_max - CLAIM_MARGIN;
+			     w->limits.stop_max - RECLAIM_MARGIN;
 	int64_t until = MIN(now + c->slack - PRESSED_MARGIN, claimed_by);
 
 	return c->tier == 0 && until > now &&
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -2,8 +2,6 @@
 
 /* Of the time that a unit loses off its rack, it waits so much for a place there. */
 #define SPREAD_SHARE 0.5
-/* What a guaranteed start takes besides stopping others: two messages and a write. */
-#define RECLAIM_MARGIN (900 * NSEC_PER_MSEC)
 /* A worker with more than this held against it is taken only when no other fits. */
 #define STRIKES_AVOID 0.7
 
@@ -38,10 +36,9 @@
 	return false;
 }
 
-/* Whether tasks of a unit may run on a worker at all. */
-bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now)
+/* Whether tasks of a unit may run on a worker at all, as of this pass. */
+bool node_suits(const struct wl_node *n, const struct wl_unit *u)
 {
-	(void)now;
 	return n->usable && (!n->headroom || n->wl->may_use_headroom) &&
 	       g_strcmp0(n->service, u->job->service) == 0 &&
 	       (u->step->label == NULL || has_label(n, u->step->label));
@@ -128,7 +125,7 @@
 		struct wl_room *r = room_of(n, which);
 		struct place_cost c;
 
-		if (!node_suits(n, t->unit, now) || !room_fits(r, &need) ||
+		if (!node_suits(n, t->unit) || !room_fits(r, &need) ||
 			!leaves_kept(n, t, &need, now))
 			continue;
 		if (rack != NULL && g_strcmp0(rack, n->rack) != 0)
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * What a guaranteed start takes besides stopping others: two messages, a write, and one more
+ * try of a message whose answer is lost.
+ */
+#define RECLAIM_MARGIN (900 * NSEC_PER_MSEC)
+
 /* What a task takes of a worker. */
 struct wl_need {
 	uint32_t cores_m;
@@ -225,7 +231,7 @@
 bool room_fits(const struct wl_room *r, const struct wl_need *n);
 void room_take(struct wl_room *r, const struct wl_need *n);
 void room_give(struct wl_room *r, const struct wl_need *n);
-bool node_suits(const struct wl_node *n, const struct wl_unit *u, int64_t now);
+bool node_suits(const struct wl_node *n, const struct wl_unit *u);
 /* Which room a plan counts on. */
 enum plan_room {
 	PLAN_FREE,
--- a/packages/workload/wl-reclaim.c
+++ b/packages/workload/wl-reclaim.c
@@ -204,7 +204,7 @@
 			.entitled = c->entitled};
 		double loss;
 
-		if (node_suits(n, u, now) && (rack == NULL || g_strcmp0(rack, n->rack) == 0) &&
+		if (node_suits(n, u) && (rack == NULL || g_strcmp0(rack, n->rack) == 0) &&
 			spread_allows(u, n, plan) && make_room(w, n, &need, &trial, now)) {
 			/* Suspicion weighs as much as a few seconds of a whole worker. */
 			loss = trial.loss + node_strikes(n, now) * 100.0;
--- a/tests/scenario/relay.c
+++ b/tests/scenario/relay.c
@@ -15,6 +15,7 @@
 	char *target;
 	int listen_fd;
 	int mode;
+	bool reset;
 	bool stop;
 	pthread_t thread;
 	int pairs[PAIRS_MAX][2];
@@ -83,6 +84,7 @@
 		struct pollfd fds[1 + 2 * PAIRS_MAX];
 		size_t n = r->len;
 		int mode = __atomic_load_n(&r->mode, __ATOMIC_ACQUIRE);
+		bool reset = __atomic_exchange_n(&r->reset, false, __ATOMIC_ACQ_REL);
 
 		fds[0] = (struct pollfd){r->listen_fd, POLLIN, 0};
 		for (size_t i = 0; i < n; i++) {
@@ -94,7 +96,7 @@
 		}
 		poll(fds, 1 + 2 * n, 20);
 		for (size_t i = n; i-- > 0;) {
-			bool ok = mode != RELAY_CUT;
+			bool ok = mode != RELAY_CUT && !reset;
 
 			if (mode == RELAY_SLOW &&
 				(fds[1 + 2 * i].revents | fds[2 + 2 * i].revents) & POLLIN)
@@ -135,6 +137,12 @@
 	__atomic_store_n(&r->mode, (int)mode, __ATOMIC_RELEASE);
 }
 
+/* Close all connections that are open now, with what they hold. */
+void relay_reset(struct relay *r)
+{
+	__atomic_store_n(&r->reset, true, __ATOMIC_RELEASE);
+}
+
 /* Stop a relay. */
 void relay_free(struct relay *r)
 {
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -106,6 +106,8 @@
 };
 struct relay *relay_new(const char *target, char **addr);
 void relay_set(struct relay *r, enum relay_mode mode);
+/* Close all connections that are open now, with what they hold. */
+void relay_reset(struct relay *r);
 void relay_free(struct relay *r);
 
 /* client.c */
--- a/tests/soak/soak-fault.c
+++ b/tests/soak/soak-fault.c
@@ -22,6 +22,9 @@
 	FAULT_KINDS
 };
 
+static const char *const fault_names[FAULT_KINDS] = {"kill", "restart", "pause", "store-link",
+	"worker-link", "store-down", "store-answers", "late-orders", "worker-crash"};
+
 /* A fault that is to be undone. */
 struct fault {
 	enum fault_kind kind;
@@ -120,9 +123,13 @@
 		control(f, "{\"late_orders\":3}");
 		return true;
 	case FAULT_WORKER_CRASH:
-		text = g_strdup_printf("{\"crash\":\"w%d\"}",
-			g_rand_int_range(f->k->rand, 1, SOAK_WORKERS + 1));
+		if (x->node->is_entry)
+			return false;
+		text = g_strdup_printf(
+			"{\"crash\":\"w%d\"}", (int)(x->node - f->k->nodes) - SOAK_ENTRIES + 1);
 		control(f, text);
+		/* A worker's connections end with it, and what was under way on them. */
+		relay_reset(x->node->worker);
 		return true;
 	case FAULT_KINDS:
 		break;
@@ -163,7 +170,7 @@
 	if (is_open(f, x.node) || !put(f, &x))
 		return;
 	f->k->faults++;
-	printf("fault kind=%d node=%s for_ms=%lld\n", x.kind, x.node->proc->name,
+	printf("fault kind=%s node=%s for_ms=%lld\n", fault_names[x.kind], x.node->proc->name,
 		(long long)((x.until - now_ns()) / NSEC_PER_MSEC));
 	g_array_append_val(f->open, x);
 }
