--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -425,6 +425,7 @@
 	uint64_t number;
 };
 
+/* A call that was carried has ended: its answer goes to the entry. */
 static void carried_done(int status, const struct bytes *answer, void *arg)
 {
 	struct carried *c = arg;
--- a/packages/daemon/wl-detour.c
+++ b/packages/daemon/wl-detour.c
@@ -90,6 +90,7 @@
 	memcpy(d->addr, r->items[0].value.data, r->items[0].value.len);
 }
 
+/* Look the address up, end calls whose time is over, keep the connection open. */
 static void tick(void *arg)
 {
 	struct wl_detour *d = arg;
@@ -117,6 +118,7 @@
 	return ((struct wl_detour *)arg)->is_open;
 }
 
+/* Send a call; without an answer in its time it ends as that. */
 static void detour_send(void *arg, const char *method, const char *path,
 	const struct bytes *body, int64_t timeout, pf_detour_fn *fn, void *fn_arg)
 {
@@ -137,6 +139,7 @@
 	bytes_clear(&out);
 }
 
+/* The connection is open. */
 static void on_opened(void *arg, peer_id peer, bool dialled)
 {
 	struct wl_detour *d = arg;
@@ -171,6 +174,7 @@
 	wl_msg_clear(&m);
 }
 
+/* The connection is gone. */
 static void on_closed(void *arg, peer_id peer, const GError *why)
 {
 	struct wl_detour *d = arg;
--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -74,6 +74,7 @@
 	struct wl_room beside;
 };
 
+/* Order of places: the one that has room first. */
 static gint kept_by_time(gconstpointer a, gconstpointer b)
 {
 	const struct kept *x = a;
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -272,6 +272,7 @@
 	job_dirty(j);
 }
 
+/* Whether something has happened since the last pass that may let work start. */
 bool wl_wants_pass(const struct wl *w)
 {
 	return w->changed;
