tests: runners beside each other never share ports

Trace: the run of folder FYZVZ3 (13:17:18 to 13:18:07) and the one of G5F5Z3 (from 13:17:27) had process numbers 500 apart and so the same part of the ports; the second took a port of the first that was free while agent-3 was restarted (its addresses go from 26854 to 26859 around the gap, all others of 26850 to 26858 were the first run's). Ruled out: the process's own listener (SO_REUSEADDR is set, the port was held by another process). Change: a runner locks its part of the ports for as long as it lives.

--- a/tests/scenario/proc.c
+++ b/tests/scenario/proc.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -186,17 +187,38 @@
 	free(p);
 }
 
+/* A part of the ports that no other runner uses, locked for as long as this process lives. */
+static int port_part(void)
+{
+	static int lock = -1;
+
+	for (int i = 0; i < PORT_PARTS; i++) {
+		int part = (getpid() + i) % PORT_PARTS;
+		g_autofree char *path = g_strdup_printf("/tmp/damaskpath-ports.%d", part);
+
+		lock = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+		if (lock >= 0 && flock(lock, LOCK_EX | LOCK_NB) == 0)
+			return part;
+		if (lock >= 0)
+			close(lock);
+	}
+	return getpid() % PORT_PARTS;
+}
+
 /*
  * A loopback address that is free now. Ports lie below those that the system gives out by
- * itself, in a part that runners with other process numbers do not use.
+ * itself, in a part that other runners do not use: a port is free while its process is being
+ * restarted.
  */
 char *free_addr(void)
 {
+	static int part = -1;
 	static int used;
 
+	if (part < 0)
+		part = port_part();
 	for (;;) {
-		int port =
-			PORT_FIRST + getpid() % PORT_PARTS * PORTS_EACH + used++ % PORTS_EACH;
+		int port = PORT_FIRST + part * PORTS_EACH + used++ % PORTS_EACH;
 		g_autofree char *want = g_strdup_printf("127.0.0.1:%d", port);
 		char *addr = NULL;
 		int fd = addr_listen(want, &addr, NULL);
