protocol, daemon, workload, tests: what stood twice stands once

Cause: the field macros of the two message files, the blocking of signals of the two programs' roles, the reading of a page from the store (three times), the end of an order's call (three times), two comparisons by time and the report of two unit tests were written again beside the first. Ruled out as the same thing: the free functions of open starts, jobs and processes (alike in shape only). Change: field-macros.h, process_open_signals, page_read, order_answered and order_end, one by_time, report_run.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -21,6 +21,9 @@
 bool process_init(struct process *p, struct options *o, GError **err);
 void process_end_work(struct process *p);
 void process_clear(struct process *p);
+/* Signals to stop and, with reload, to read the settings again; -1 where there is no
+ * descriptor. */
+int process_open_signals(bool reload);
 
 /* agent.c: the process beside an upstream; one of them coordinates the cell. */
 struct agent;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -102,19 +102,6 @@
 	loop_timer_add(p->process.loop, STOP_PERIOD, STOP_PERIOD, check_stopped, p);
 }
 
-/* Block the signals that the loop reads. */
-static int open_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
-	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 /* Write the sections of a file into a store that is empty. */
 static bool load_config(struct store *s, const char *path, GError **err)
 {
@@ -165,7 +152,7 @@
 /* Run a role of our own deployments until it is stopped. */
 static int run_role(enum role role, struct options *o)
 {
-	struct program p = {.signal_fd = open_signals()};
+	struct program p = {.signal_fd = process_open_signals(false)};
 	g_autoptr(GError) err = NULL;
 	bool ok = process_init(&p.process, o, &err) && open_store(&p, role, &err);
 
--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -1,6 +1,9 @@
 #include "daemon.h"
 
+#include <pthread.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/signalfd.h>
 
 #define POOL_THREADS 4
 
@@ -45,3 +48,18 @@
 	store_free(p->store);
 	keyring_free(p->keys);
 }
+
+/* Block the signals that the loop reads, and give the descriptor that they come from. */
+int process_open_signals(bool reload)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	if (reload)
+		sigaddset(&set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -161,18 +161,25 @@
 	list_inbox(c, NULL);
 }
 
+/* Whether a page was read; where the store did not give it, again is called after a pause. */
+static bool page_read(struct wl_coord *c, const struct kv_result *r, loop_fn *again)
+{
+	if (!coord_call_ended(c) || c->lost)
+		return false;
+	if (r->status == KV_OK)
+		return true;
+	c->watch_at = 0;
+	c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, again, c);
+	return false;
+}
+
 /* One page of the inbox was read. */
 static void inbox_read(const struct kv_result *r, void *arg)
 {
 	struct wl_coord *c = arg;
 
-	if (!coord_call_ended(c) || c->lost)
-		return;
-	if (r->status != KV_OK) {
-		c->watch_at = 0;
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_list_again, c);
+	if (!page_read(c, r, on_list_again))
 		return;
-	}
 	if (c->watch_at == 0)
 		c->watch_at = r->at;
 	for (size_t i = 0; i < r->items_len && !c->lost; i++)
@@ -209,12 +216,8 @@
 {
 	struct wl_coord *c = arg;
 
-	if (!coord_call_ended(c) || c->lost)
+	if (!page_read(c, r, on_load_again))
 		return;
-	if (r->status != KV_OK) {
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_load_again, c);
-		return;
-	}
 	for (size_t i = 0; i < r->items_len; i++) {
 		const char *id = r->items[i].key + strlen(KEY_PROGRESS);
 		struct bytes *b = xcalloc(1, sizeof(*b));
@@ -240,12 +243,8 @@
 {
 	struct wl_coord *c = arg;
 
-	if (!coord_call_ended(c) || c->lost)
-		return;
-	if (r->status != KV_OK) {
-		c->watch_timer = loop_timer_add(c->p->loop, WATCH_PAUSE, 0, on_load_again, c);
+	if (!page_read(c, r, on_load_again))
 		return;
-	}
 	for (size_t i = 0; i < r->items_len; i++) {
 		const char *node = r->items[i].key + strlen(KEY_NODE);
 
--- a/packages/daemon/wl-process.c
+++ b/packages/daemon/wl-process.c
@@ -99,20 +99,6 @@
 	loop_timer_add(p->process.loop, STOP_PERIOD, STOP_PERIOD, check_stopped, p);
 }
 
-/* Block the signals that the loop reads. */
-static int open_signals(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
-	return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 /* Serve metrics where the settings ask for it. */
 static bool open_metrics(struct wl_program *p, int64_t port, GError **err)
 {
@@ -148,7 +134,7 @@
 /* Run a role of the platform until it is stopped. */
 int wl_process_run(enum wl_role role, const struct options *o)
 {
-	struct wl_program p = {.signal_fd = open_signals()};
+	struct wl_program p = {.signal_fd = process_open_signals(true)};
 	g_autoptr(GError) err = NULL;
 	bool ok = open_process(&p, o, &err);
 
--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -70,6 +70,21 @@
 	return least - 1;
 }
 
+/* The answer to an order has come, or will not; order_end follows. */
+static void order_answered(struct http_call *c, struct pf_reply *r)
+{
+	((struct worker_call *)c->arg)->worker->calls--;
+	pf_worker_read(c, r);
+}
+
+/* Free an order's call and its answer. */
+static void order_end(struct http_call *c, struct pf_reply *r)
+{
+	free(c->arg);
+	pf_reply_clear(r);
+	http_call_free(c);
+}
+
 /* The stop that makes an unanswered start void was answered, or not. */
 static void void_done(struct http_call *c, void *arg)
 {
@@ -78,8 +93,7 @@
 	struct open_start *s = wc->start;
 	struct pf_reply r;
 
-	w->calls--;
-	pf_worker_read(c, &r);
+	order_answered(c, &r);
 	s->calling = false;
 	if (s->dropped)
 		open_free(s);
@@ -87,9 +101,7 @@
 		s->void_since = now_of(w);
 	else
 		s->sent = now_of(w);
-	pf_reply_clear(&r);
-	http_call_free(c);
-	free(wc);
+	order_end(c, &r);
 }
 
 /* See to the starts without an answer, by lists that were asked for at a time. */
@@ -205,8 +217,7 @@
 	struct open_start *s = wc->start;
 	struct pf_reply r;
 
-	w->calls--;
-	pf_worker_read(c, &r);
+	order_answered(c, &r);
 	histogram_add(&start_seconds, now_of(w) - s->sent);
 	s->calling = false;
 	if (s->dropped) {
@@ -221,9 +232,7 @@
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->ev.fenced(w->ev.arg);
 	}
-	pf_reply_clear(&r);
-	http_call_free(c);
-	free(wc);
+	order_end(c, &r);
 }
 
 /* Whether an order is of the coordinator that we follow and for this life of the worker. */
@@ -320,8 +329,7 @@
 	struct open_stop *s = wc->stop;
 	struct pf_reply r;
 
-	w->calls--;
-	pf_worker_read(c, &r);
+	order_answered(c, &r);
 	if (r.kind == PF_REPLY_NONE && s->sends < ORDER_SENDS_MAX && wc->term == w->term &&
 		!w->freed) {
 		stop_send(w, s);
@@ -329,9 +337,7 @@
 		free(s->task);
 		free(s);
 	}
-	pf_reply_clear(&r);
-	http_call_free(c);
-	free(wc);
+	order_end(c, &r);
 }
 
 /* Stop a run; the coordinator asks again where it goes on. */
--- a/packages/workload/wl-keep.c
+++ b/packages/workload/wl-keep.c
@@ -12,12 +12,13 @@
 	struct wl_need need;
 };
 
+/* Order by the time that is the first field of both structs here. */
 static gint by_time(gconstpointer a, gconstpointer b)
 {
-	const struct freeing *x = a;
-	const struct freeing *y = b;
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
 
-	return x->at < y->at ? -1 : x->at > y->at;
+	return x < y ? -1 : x > y;
 }
 
 /* When a worker will have room for a need, and how much then; INT64_MAX for never. */
@@ -69,20 +70,11 @@
 
 /* A place where room may be kept. */
 struct kept {
-	struct wl_node *node;
 	int64_t at;
+	struct wl_node *node;
 	struct wl_room beside;
 };
 
-/* Order of places: the one that has room first. */
-static gint kept_by_time(gconstpointer a, gconstpointer b)
-{
-	const struct kept *x = a;
-	const struct kept *y = b;
-
-	return x->at < y->at ? -1 : x->at > y->at;
-}
-
 /* The workers that will have room for a task of the unit and keep none yet, the first ones
  * first. */
 static GArray *places_in_time(
@@ -100,7 +92,7 @@
 		if (k.at != INT64_MAX)
 			g_array_append_val(out, k);
 	}
-	g_array_sort(out, kept_by_time);
+	g_array_sort(out, by_time);
 	return out;
 }
 
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -1,30 +1,11 @@
 #include "workload.h"
+#include "field-macros.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 /* The field tables of the structs that are stored or sent; fields may only be added at the end.
  */
-#define FIELD(k, s, f)                                                                         \
-	{                                                                                      \
-		.kind = (k), .offset = offsetof(struct s, f)                                   \
-	}
-#define U32(s, f)   FIELD(FIELD_U32, s, f)
-#define U64(s, f)   FIELD(FIELD_U64, s, f)
-#define I64(s, f)   FIELD(FIELD_I64, s, f)
-#define BOOL(s, f)  FIELD(FIELD_BOOL, s, f)
-#define TEXT(s, f)  FIELD(FIELD_TEXT, s, f)
-#define BYTES(s, f) FIELD(FIELD_BYTES, s, f)
-#define LIST(s, f, t)                                                                          \
-	{                                                                                      \
-		.kind = FIELD_LIST, .offset = offsetof(struct s, f),                           \
-		.len_offset = offsetof(struct s, f##_len), .sub = &t##_fields                  \
-	}
-#define TABLE(s)                                                                               \
-	{                                                                                      \
-		.name = #s, .size = sizeof(struct s), .fields = s##_list,                      \
-		.count = ARRAY_LEN(s##_list)                                                   \
-	}
 
 static const struct field wl_step_ref_list[] = {U32(wl_step_ref, step)};
 static const struct field_table wl_step_ref_fields = TABLE(wl_step_ref);
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -497,28 +497,36 @@
 	bed_close(&b);
 }
 
-/* A leaving worker gets nothing new, and what cannot end there in time moves. */
-static void test_leaving(void)
+/* A worker that may be leaving lists its only run. */
+static void report_run(struct bed *b, uint32_t percent, uint32_t leaves_in_ms)
 {
-	struct bed b;
-	struct wl_run run = {.task = (char *)"0000000000000001.0.0.0", .attempt = 1};
-	struct wl_report r = {.node = (char *)"w1",
+	struct wl_run run = {
+		.task = (char *)"0000000000000001.0.0.0", .attempt = 1, .percent = percent};
+	const struct wl_report r = {.node = (char *)"w1",
 		.life = (char *)"w1@1",
 		.service = (char *)"s",
 		.accelerators = 8,
 		.cores_m = 32000,
 		.memory_mb = 64000,
-		.draining = true,
-		.leaves_in_ms = 1000,
+		.draining = leaves_in_ms > 0,
+		.leaves_in_ms = leaves_in_ms,
+		.covers = b->ordinal,
 		.runs = &run,
 		.runs_len = 1};
 
+	wl_node_report(b->wl, b->now, b->now, &r);
+}
+
+/* A leaving worker gets nothing new, and what cannot end there in time moves. */
+static void test_leaving(void)
+{
+	struct bed b;
+
 	bed_open(&b);
 	report(&b, "w1", NULL, 0, NULL, 0);
 	submit(&b, 1, "batch", 1, 1, 9000, false);
 	pass(&b);
-	r.covers = b.ordinal;
-	wl_node_report(b.wl, b.now, b.now, &r);
+	report_run(&b, 0, 1000);
 	submit(&b, 2, "urgent", 1, 1, 500, false);
 	pass(&b);
 	CU_ASSERT_EQUAL(b.starts, 1);
@@ -526,32 +534,18 @@
 	bed_close(&b);
 }
 
-/* Between two lists of a leaving worker a run moves on: one that will end in time is left
- * alone. */
+/* Between two lists of a leaving worker a run moves on: one that ends in time is left alone. */
 static void test_leaving_in_time(void)
 {
 	struct bed b;
-	struct wl_run run = {.task = (char *)"0000000000000001.0.0.0", .attempt = 1};
-	struct wl_report r = {.node = (char *)"w1",
-		.life = (char *)"w1@1",
-		.service = (char *)"s",
-		.accelerators = 8,
-		.cores_m = 32000,
-		.memory_mb = 64000,
-		.runs = &run,
-		.runs_len = 1};
 
 	bed_open(&b);
 	report(&b, "w1", NULL, 0, NULL, 0);
 	submit(&b, 1, "batch", 1, 1, 9000, false);
 	pass(&b);
-	r.covers = b.ordinal;
-	wl_node_report(b.wl, b.now, b.now, &r);
+	report_run(&b, 0, 0);
 	b.now += SEC;
-	run.percent = 50;
-	r.draining = true;
-	r.leaves_in_ms = 2000;
-	wl_node_report(b.wl, b.now, b.now, &r);
+	report_run(&b, 50, 2000);
 	pass(&b);
 	b.now += 900 * MS;
 	pass(&b);
