--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -235,6 +235,8 @@
 void loop_run(struct loop *l);
 void loop_stop(struct loop *l);
 void loop_post(struct loop *l, loop_fn *fn, void *arg);
+void loop_defer(struct loop *l, loop_fn *fn, void *arg);
+void loop_defer_del(struct loop *l, loop_fn *fn, const void *arg);
 void loop_add_fd(struct loop *l, int fd, uint32_t events, loop_fd_fn *fn, void *arg);
 void loop_set_fd(struct loop *l, int fd, uint32_t events);
 void loop_del_fd(struct loop *l, int fd);
--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -20,6 +20,9 @@
 EVENT(EV_TERM_LOST, "term-lost", "term why", "this process no longer coordinates")
 EVENT(EV_TERM_SEEN, "term-seen", "term addr", "an agent follows this coordinator")
 EVENT(EV_LINK_LOST, "link-lost", "addr why silent_ms", "an agent lost its coordinator")
+EVENT(EV_COORD_LOAD, "coordinator-load",
+	"waiting placed pass_ms report_ms answer_ms stored_ms inbox_ms",
+	"time of the coordinator in the last seconds as sum/times/longest")
 EVENT(EV_WORKER_UP, "worker-up", "node life rack free", "a worker can take tasks")
 EVENT(EV_WORKER_SILENT, "worker-silent", "node life tasks until_ms",
 	"a worker's agent is out of reach")
--- a/packages/base/event.c
+++ b/packages/base/event.c
@@ -83,6 +83,26 @@
 	append_line(wall_ns, event_infos[EV_LOG_DROPPED].name, text);
 }
 
+/* Count a line against the rate limits. Return whether it may be written. */
+static bool take_line(enum event_id id, int64_t wall_ns)
+{
+	bool allowed;
+
+	pthread_mutex_lock(&lock);
+	update_rate_window(wall_ns);
+	allowed = lines_in_second < PROCESS_LINES_PER_S &&
+		  event_lines_in_second[id] < EVENT_LINES_PER_S;
+	if (allowed) {
+		lines_in_second++;
+		event_lines_in_second[id]++;
+	} else {
+		counter_add(&lines_dropped, 1);
+		dropped_since_report++;
+	}
+	pthread_mutex_unlock(&lock);
+	return allowed;
+}
+
 /* Log an event, with its fields formatted as logfmt by fmt. May be called from any thread. */
 void event_log(enum event_id id, const char *fmt, ...)
 {
@@ -90,6 +110,8 @@
 	int64_t wall_ns = clock_wall(&clock_system);
 	va_list ap;
 
+	if (!take_line(id, wall_ns))
+		return;
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
@@ -98,16 +120,7 @@
 			*p = ' ';
 	}
 	pthread_mutex_lock(&lock);
-	update_rate_window(wall_ns);
-	if (lines_in_second >= PROCESS_LINES_PER_S ||
-		event_lines_in_second[id] >= EVENT_LINES_PER_S) {
-		counter_add(&lines_dropped, 1);
-		dropped_since_report++;
-	} else {
-		lines_in_second++;
-		event_lines_in_second[id]++;
-		append_line(wall_ns, event_infos[id].name, text);
-	}
+	append_line(wall_ns, event_infos[id].name, text);
 	pthread_mutex_unlock(&lock);
 }
 
--- a/packages/base/loop.c
+++ b/packages/base/loop.c
@@ -42,6 +42,7 @@
 	bool running;
 	GHashTable *fds;
 	TAILQ_HEAD(, loop_timer) timers;
+	STAILQ_HEAD(, loop_call) deferred;
 	pthread_mutex_t lock;
 	STAILQ_HEAD(, loop_call) calls;
 	bool wake_pending;
@@ -59,6 +60,7 @@
 	l->fds = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free);
 	TAILQ_INIT(&l->timers);
 	STAILQ_INIT(&l->calls);
+	STAILQ_INIT(&l->deferred);
 	pthread_mutex_init(&l->lock, NULL);
 	ev.data.fd = l->wake_fd;
 	if (epoll_ctl(l->epoll_fd, EPOLL_CTL_ADD, l->wake_fd, &ev) != 0)
@@ -80,6 +82,10 @@
 		STAILQ_REMOVE_HEAD(&l->calls, entry);
 		free(c);
 	}
+	while ((c = STAILQ_FIRST(&l->deferred)) != NULL) {
+		STAILQ_REMOVE_HEAD(&l->deferred, entry);
+		free(c);
+	}
 	g_hash_table_destroy(l->fds);
 	close(l->epoll_fd);
 	close(l->wake_fd);
@@ -105,6 +111,50 @@
 		abort();
 }
 
+/*
+ * Call fn on the loop's thread before the loop waits for events again. To be called on that
+ * thread only; unlike loop_post it makes no system call.
+ */
+void loop_defer(struct loop *l, loop_fn *fn, void *arg)
+{
+	struct loop_call *c = xmalloc(sizeof(*c));
+
+	c->fn = fn;
+	c->arg = arg;
+	STAILQ_INSERT_TAIL(&l->deferred, c, entry);
+}
+
+/* Drop the deferred calls of fn with arg. */
+void loop_defer_del(struct loop *l, loop_fn *fn, const void *arg)
+{
+	STAILQ_HEAD(, loop_call) kept = STAILQ_HEAD_INITIALIZER(kept);
+	struct loop_call *c;
+
+	while ((c = STAILQ_FIRST(&l->deferred)) != NULL) {
+		STAILQ_REMOVE_HEAD(&l->deferred, entry);
+		if (c->fn == fn && c->arg == arg)
+			free(c);
+		else
+			STAILQ_INSERT_TAIL(&kept, c, entry);
+	}
+	STAILQ_CONCAT(&l->deferred, &kept);
+}
+
+/* Run the deferred calls, also those that they defer. Return whether there were any. */
+static bool run_deferred(struct loop *l)
+{
+	struct loop_call *c;
+	bool any = false;
+
+	while ((c = STAILQ_FIRST(&l->deferred)) != NULL) {
+		STAILQ_REMOVE_HEAD(&l->deferred, entry);
+		c->fn(c->arg);
+		free(c);
+		any = true;
+	}
+	return any;
+}
+
 /* Run the posted calls in order. Calls posted meanwhile run in the next iteration. */
 static void run_posted(struct loop *l)
 {
@@ -197,9 +247,13 @@
 
 	l->running = true;
 	while (l->running) {
-		int timeout_ms = run_timers(l);
-		int n = l->running ? epoll_wait(l->epoll_fd, evs, LOOP_MAX_EVENTS, timeout_ms)
-				   : 0;
+		int timeout_ms;
+		int n;
+
+		do {
+			timeout_ms = run_timers(l);
+		} while (run_deferred(l));
+		n = l->running ? epoll_wait(l->epoll_fd, evs, LOOP_MAX_EVENTS, timeout_ms) : 0;
 
 		for (int i = 0; i < n; i++) {
 			struct loop_fd *f;
--- a/packages/bench/bench-workload.c
+++ b/packages/bench/bench-workload.c
@@ -119,10 +119,18 @@
 	(void)o;
 }
 
-static void on_dirty(void *arg, const char *id)
+static void on_stored(void *arg, const char *node, const struct wl_stored *s)
+{
+	(void)arg;
+	(void)node;
+	(void)s;
+}
+
+static void on_dirty(void *arg, const char *id, enum wl_store_urgency urgency)
 {
 	struct sim *s = arg;
 
+	(void)urgency;
 	g_ptr_array_add(s->dirty, g_strdup(id));
 }
 
@@ -166,6 +174,7 @@
 	r.runs = (struct wl_run *)runs->data;
 	r.runs_len = runs->len;
 	wl_node_report(s->wl, s->now, s->now, &r);
+	wl_ack_stored_ends(s->wl);
 	for (guint i = 0; i < n->ends->len; i++)
 		free(g_array_index(n->ends, struct wl_ended, i).task);
 	g_array_set_size(n->ends, 0);
@@ -283,6 +292,7 @@
 	const struct wl_callbacks callbacks = {.start = on_start,
 		.stop = on_stop,
 		.pace = on_pace,
+		.stored = on_stored,
 		.dirty = on_dirty,
 		.arg = &s};
 	struct wl_config *config = make_config(workers);
--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -22,8 +22,9 @@
 /* A coordinator whose term the store last confirmed longer ago may have been replaced. */
 #define TERM_AGE_MAX  (2000 * NSEC_PER_MSEC)
 #define LOOKUP_PERIOD (400 * NSEC_PER_MSEC)
-/* The coordinator is pinged if no report was sent to it for this long. */
-#define PING_PERIOD  (700 * NSEC_PER_MSEC)
+/* The coordinator is pinged if no report, of which there is one a second, was sent for this
+ * long. */
+#define PING_PERIOD  (1200 * NSEC_PER_MSEC)
 #define DIAL_TIMEOUT (1000 * NSEC_PER_MSEC)
 /* A random delay up to this keeps agents from campaigning all at once. */
 #define CAMPAIGN_DELAY_MAX (150 * NSEC_PER_MSEC)
--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -114,9 +114,11 @@
 static void on_watch_result(const struct kv_result *r, void *arg)
 {
 	struct wl_coord *c = arg;
+	int64_t began;
 
 	if (!coord_call_ended(c) || c->term_lost)
 		return;
+	began = loop_now(c->p->loop);
 	switch (r->status) {
 	case KV_OK:
 		for (size_t i = 0; i < r->items_len && !c->term_lost; i++)
@@ -128,6 +130,7 @@
 		if (r->items_len > 0)
 			coord_request_pass(c);
 		watch_inbox(c);
+		coord_load_add(&c->load, COORD_WORK_INBOX, loop_now(c->p->loop) - began);
 		return;
 	case KV_NOT_FOUND:
 		c->watch_revision = 0;
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -15,12 +15,31 @@
 	bool has_pending_report;
 };
 
+/* Kinds of the coordinator's work. */
+enum coord_work {
+	COORD_WORK_PASS,
+	COORD_WORK_REPORT,
+	COORD_WORK_ANSWER,
+	COORD_WORK_STORED, /* the reply to a write of records */
+	COORD_WORK_INBOX,
+	COORD_WORK_COUNT
+};
+
+/* Time spent on each kind of work since the last log line, in nanoseconds. */
+struct coord_load {
+	int64_t logged_at;
+	int64_t busy[COORD_WORK_COUNT];
+	int64_t longest[COORD_WORK_COUNT];
+	unsigned int times[COORD_WORK_COUNT];
+};
+
 struct wl_coord {
 	struct wl_process *p;
 	struct wl_coord_events ev;
 	struct wl *scheduler; /* the scheduler core, workload.h */
 	struct record_writer *records;
 	struct config_feed *feed;
+	struct coord_load load;
 	uint64_t term;
 	int64_t term_revision;
 	int64_t store_lease; /* id of the store lease of the coordinator's key */
@@ -40,6 +59,8 @@
 	GHashTable *stored_progress; /* encoded progress by job id, for jobs not read yet */
 	GHashTable *pending_cancels; /* ids of jobs to cancel once they are read */
 	GPtrArray *agents;
+	GHashTable *agents_by_node;
+	GHashTable *agents_by_peer;
 	struct loop_timer *renew_timer;
 	struct loop_timer *sweep_timer;
 	struct loop_timer *pass_timer;
@@ -66,6 +87,12 @@
 /* Processes the reports that agents sent before loading was complete. */
 void coord_apply_pending_reports(struct wl_coord *c);
 
+/* wl-coord-load.c */
+/* Adds a piece of work that took duration nanoseconds. */
+void coord_load_add(struct coord_load *l, enum coord_work work, int64_t duration);
+/* Logs what was added since the last line, if that is some seconds ago. */
+void coord_load_log(struct coord_load *l, int64_t now, const struct wl *scheduler);
+
 /* wl-coord-inbox.c: loads the state from the store, then watches the inbox keys. */
 void inbox_start(struct wl_coord *c);
 
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -11,6 +11,12 @@
  */
 
 #define RETRY_DELAY (150 * NSEC_PER_MSEC)
+/*
+ * Changes for which nothing waits are stored together after this time, or with the next change
+ * that is urgent. Agents request the lists of a worker with ends that are not stored each 150
+ * ms.
+ */
+#define BATCH_DELAY (50 * NSEC_PER_MSEC)
 
 HISTOGRAM(record_seconds, "damaskpath_record_seconds",
 	"Time from a change of a job's progress until it is stored.");
@@ -48,11 +54,14 @@
 	void *arg;
 	GHashTable *records;
 	GPtrArray *nodes;
+	GHashTable *nodes_by_name;
 	GQueue queue; /* dirty records, oldest first */
 	bool commit_in_flight;
+	bool due; /* what is queued is written as soon as no transaction is in flight */
 	bool term_lost;
 	bool freed;
 	struct loop_timer *retry;
+	struct loop_timer *batch;
 };
 
 static void flush(struct record_writer *r);
@@ -96,11 +105,30 @@
 	g_queue_push_tail(&r->queue, rec);
 }
 
+/* Writes what is queued now, or after the transaction in flight. */
+static void flush_now(struct record_writer *r)
+{
+	r->due = true;
+	flush(r);
+}
+
+static void on_batch(void *arg)
+{
+	struct record_writer *r = arg;
+
+	r->batch = NULL;
+	flush_now(r);
+}
+
 /* Queues a job's changed progress for writing. */
-void record_writer_mark_dirty(struct record_writer *r, const char *id)
+void record_writer_mark_dirty(
+	struct record_writer *r, const char *id, enum wl_store_urgency urgency)
 {
 	enqueue(r, record_get(r, id));
-	flush(r);
+	if (urgency == WL_STORE_NOW)
+		flush_now(r);
+	else if (r->batch == NULL)
+		r->batch = loop_timer_add(r->p->loop, BATCH_DELAY, 0, on_batch, r);
 }
 
 void record_writer_note_revision(struct record_writer *r, const char *id, int64_t revision)
@@ -117,18 +145,12 @@
 
 	rec->remove = true;
 	enqueue(r, rec);
-	flush(r);
+	flush_now(r);
 }
 
 static struct node_record *node_record_find(const struct record_writer *r, const char *name)
 {
-	for (guint i = 0; i < r->nodes->len; i++) {
-		struct node_record *n = r->nodes->pdata[i];
-
-		if (strcmp(n->name, name) == 0)
-			return n;
-	}
-	return NULL;
+	return g_hash_table_lookup(r->nodes_by_name, name);
 }
 
 /* Returns the record of a node, creating it if needed. */
@@ -141,6 +163,7 @@
 	n = xcalloc(1, sizeof(*n));
 	n->name = xstrdup(name);
 	g_ptr_array_add(r->nodes, n);
+	g_hash_table_insert(r->nodes_by_name, n->name, n);
 	return n;
 }
 
@@ -151,7 +174,7 @@
 void record_writer_set_node(struct record_writer *r, const char *name, bool present)
 {
 	node_record_get(r, name)->should_exist = present;
-	flush(r);
+	flush_now(r);
 }
 
 /* Whether a node's key is stored and is not about to be removed. */
@@ -171,6 +194,11 @@
 	n->should_exist = true;
 }
 
+void record_writer_flush(struct record_writer *r)
+{
+	flush_now(r);
+}
+
 bool record_writer_idle(const struct record_writer *r)
 {
 	return !r->commit_in_flight;
@@ -181,7 +209,7 @@
 	struct record_writer *r = arg;
 
 	r->retry = NULL;
-	flush(r);
+	flush_now(r);
 }
 
 /* Handles the result of a transaction for one record; after a failure it is queued again. */
@@ -258,6 +286,8 @@
 	}
 	if (res->status == KV_OK)
 		r->on_stored(r->arg);
+	if (res->status == KV_CONFLICT)
+		r->due = true;
 	if (res->status == KV_OK || res->status == KV_CONFLICT)
 		flush(r);
 	else if (r->retry == NULL)
@@ -313,6 +343,18 @@
 	}
 }
 
+/* Whether a node's key has to be written or removed and is not in the transaction. */
+static bool nodes_changed(const struct record_writer *r)
+{
+	for (guint i = 0; i < r->nodes->len; i++) {
+		const struct node_record *n = r->nodes->pdata[i];
+
+		if (n->should_exist != n->stored && !n->in_flight)
+			return true;
+	}
+	return false;
+}
+
 /* Adds one record; a job without progress to store is skipped. */
 static void add_record(struct record_writer *r, struct batch *b, struct record *rec)
 {
@@ -349,10 +391,11 @@
 
 	b.txn.expect[0] = (struct kv_condition){KEY_TERM, r->term_revision};
 	b.txn.expect_len = 1;
-	if (!r->commit_in_flight && !r->term_lost && r->retry == NULL) {
+	if (r->due && !r->commit_in_flight && !r->term_lost && r->retry == NULL) {
 		add_nodes(r, &b);
 		while (!g_queue_is_empty(&r->queue) && batch_len(&b) + 3 <= KV_TXN_MAX)
 			add_record(r, &b, g_queue_pop_head(&r->queue));
+		r->due = !g_queue_is_empty(&r->queue) || nodes_changed(r);
 		if (b.txn.write_len + b.txn.remove_len > 0) {
 			r->commit_in_flight = true;
 			kv_commit(r->p->kv, &b.txn, on_commit_reply, r);
@@ -376,6 +419,7 @@
 	r->arg = arg;
 	r->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
 	r->nodes = g_ptr_array_new_with_free_func(node_record_free);
+	r->nodes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&r->queue);
 	return r;
 }
@@ -389,10 +433,13 @@
 	if (r->retry != NULL)
 		loop_timer_del(r->p->loop, r->retry);
 	r->retry = NULL;
+	loop_timer_del(r->p->loop, r->batch);
+	r->batch = NULL;
 	if (r->commit_in_flight)
 		return;
 	g_queue_clear(&r->queue);
 	g_hash_table_destroy(r->records);
+	g_hash_table_destroy(r->nodes_by_name);
 	g_ptr_array_unref(r->nodes);
 	free(r);
 }
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -27,8 +27,13 @@
  */
 #define RUN_LEASE_MARGIN   (400 * NSEC_PER_MSEC)
 #define SLOW_CLOCK_DIVISOR 50 /* adds 1/50 of the lease */
-/* The pause after a pass is as long as the pass, up to this limit. */
-#define PASS_PAUSE_MAX (100 * NSEC_PER_MSEC)
+/*
+ * The pause after a pass is this many times as long as the pass, within the limits. Renewing
+ * leases and storing ends come first when the process is short of processor time.
+ */
+#define PASS_PAUSE_FACTOR 3
+#define PASS_PAUSE_MIN	  (10 * NSEC_PER_MSEC)
+#define PASS_PAUSE_MAX	  (300 * NSEC_PER_MSEC)
 /* Keeps ended jobs longer than the setting ended_retention, for callers that query late. */
 #define RETENTION_MARGIN (30 * NSEC_PER_SEC)
 
@@ -60,13 +65,13 @@
 /* Returns the agent of a node, or NULL if it has not sent a hello. */
 static struct agent_conn *agent_find(struct wl_coord *c, const char *node)
 {
-	for (guint i = 0; i < c->agents->len; i++) {
-		struct agent_conn *agent = c->agents->pdata[i];
+	return g_hash_table_lookup(c->agents_by_node, node);
+}
 
-		if (strcmp(agent->node, node) == 0)
-			return agent;
-	}
-	return NULL;
+/* Returns the agent of a connection, or NULL if it has not sent a hello on it. */
+static struct agent_conn *agent_of_peer(struct wl_coord *c, peer_id peer)
+{
+	return g_hash_table_lookup(c->agents_by_peer, &peer);
 }
 
 /* Sends a message to a node's agent, or drops it if the agent is not connected. */
@@ -104,11 +109,19 @@
 	send_to_node(arg, node, &m);
 }
 
-static void on_job_dirty(void *arg, const char *id)
+/* Tells an agent up to which number the worker's ended runs are stored. */
+static void order_stored(void *arg, const char *node, const struct wl_stored *s)
+{
+	struct wl_msg m = {.kind = WL_MSG_STORED, .stored = *s};
+
+	send_to_node(arg, node, &m);
+}
+
+static void on_job_dirty(void *arg, const char *id, enum wl_store_urgency urgency)
 {
 	struct wl_coord *c = arg;
 
-	record_writer_mark_dirty(c->records, id);
+	record_writer_mark_dirty(c->records, id, urgency);
 }
 
 /* Time since the store last confirmed the term. */
@@ -133,9 +146,11 @@
 	if (c->loaded && !c->stopping && !c->term_lost && term_age(c) < START_TERM_AGE_MAX) {
 		next = wl_pass(c->scheduler, now, clock_wall(loop_clock(c->p->loop)));
 		c->pass_ended = loop_now(c->p->loop);
-		c->pass_pause = MIN(c->pass_ended - now, PASS_PAUSE_MAX);
+		c->pass_pause = CLAMP(PASS_PAUSE_FACTOR * (c->pass_ended - now), PASS_PAUSE_MIN,
+			PASS_PAUSE_MAX);
 		counter_add(&passes_total, 1);
 		histogram_add(&pass_seconds, c->pass_ended - now);
+		coord_load_add(&c->load, COORD_WORK_PASS, c->pass_ended - now);
 	}
 	if (c->pass_timer == NULL)
 		schedule_pass(c, next);
@@ -149,36 +164,13 @@
 	c->pass_timer = loop_timer_add(c->p->loop, delay, 0, on_pass_timer, c);
 }
 
-/*
- * The pause between passes lets the process handle messages. Passes of up to PASS_PAUSE_MAX
- * take at most about half of its time; longer ones take more, as the pause does not grow with
- * them.
- */
+/* The pause between passes lets the process handle messages. */
 void coord_request_pass(struct wl_coord *c)
 {
 	if (wl_pass_needed(c->scheduler))
 		schedule_pass(c, MAX(c->pass_ended + c->pass_pause - loop_now(c->p->loop), 0));
 }
 
-/*
- * Acknowledges the ended runs that the agents have reported: tells each agent up to which
- * number they are stored, unless it has been told already.
- */
-static void send_stored(struct wl_coord *c)
-{
-	for (guint i = 0; i < c->agents->len; i++) {
-		struct agent_conn *agent = c->agents->pdata[i];
-		struct wl_msg msg = {.kind = WL_MSG_STORED, .stored.term = c->term};
-		const char *instance; /* the worker's id and start time */
-
-		if (!wl_node_take_ends_to_ack(
-			    c->scheduler, agent->node, &instance, &msg.stored.number))
-			continue;
-		msg.stored.worker_instance = (char *)instance;
-		send_to_node(c, agent->node, &msg);
-	}
-}
-
 /*
  * Sends an agent the coordinator's heartbeat, with the age of the term and the ordinal of the
  * last start. It is the reply to the agent's message whose sent_ns is echo; 0 for none.
@@ -201,7 +193,7 @@
 {
 	wl_node_report(
 		c->scheduler, loop_now(c->p->loop), clock_wall(loop_clock(c->p->loop)), r);
-	send_stored(c);
+	wl_ack_stored_ends(c->scheduler);
 	coord_request_pass(c);
 }
 
@@ -209,6 +201,7 @@
 static void on_records_stored(void *arg)
 {
 	struct wl_coord *c = arg;
+	int64_t began = loop_now(c->p->loop);
 
 	for (guint i = 0; i < c->agents->len; i++) {
 		struct agent_conn *agent = c->agents->pdata[i];
@@ -220,8 +213,9 @@
 		apply_report(c, &agent->pending_report.report);
 		wl_msg_clear(&agent->pending_report);
 	}
-	send_stored(c);
+	wl_ack_stored_ends(c->scheduler);
 	coord_request_pass(c);
+	coord_load_add(&c->load, COORD_WORK_STORED, loop_now(c->p->loop) - began);
 }
 
 static void on_term_superseded(void *arg)
@@ -265,13 +259,18 @@
 		agent = xcalloc(1, sizeof(*agent));
 		agent->node = xstrdup(h->node);
 		g_ptr_array_add(c->agents, agent);
+		g_hash_table_insert(c->agents_by_node, agent->node, agent);
 	}
 	if (agent->peer != PEER_NONE && agent->peer != peer)
 		peer_close(agent->net, agent->peer);
+	if (agent->peer != PEER_NONE)
+		g_hash_table_remove(c->agents_by_peer, &agent->peer);
 	agent->net = net;
 	agent->peer = peer;
+	g_hash_table_replace(c->agents_by_peer, &agent->peer, agent);
 	agent->last_heard = loop_now(c->p->loop);
 	send_coordinator_heartbeat(c, agent, 0);
+	wl_node_connected(c->scheduler, agent->node);
 }
 
 /*
@@ -281,16 +280,13 @@
 void wl_coord_handle_message(
 	struct wl_coord *c, struct peer_net *net, peer_id peer, struct wl_msg *msg)
 {
-	struct agent_conn *agent = NULL;
+	struct agent_conn *agent;
 
 	if (msg->kind == WL_MSG_HELLO) {
 		on_hello(c, net, peer, &msg->hello);
 		return;
 	}
-	for (guint i = 0; i < c->agents->len && agent == NULL; i++) {
-		if (((struct agent_conn *)c->agents->pdata[i])->peer == peer)
-			agent = c->agents->pdata[i];
-	}
+	agent = agent_of_peer(c, peer);
 	if (agent == NULL)
 		return;
 	agent->last_heard = loop_now(c->p->loop);
@@ -298,15 +294,20 @@
 		send_coordinator_heartbeat(c, agent, msg->ping.sent_ns);
 	} else if (msg->kind == WL_MSG_REPORT && msg->report.term == c->term) {
 		on_report(c, agent, msg);
+		coord_load_add(
+			&c->load, COORD_WORK_REPORT, loop_now(c->p->loop) - agent->last_heard);
 	} else if (msg->kind == WL_MSG_ANSWER && msg->answer.term == c->term) {
 		wl_node_answer(c->scheduler, agent->last_heard, &msg->answer);
 		coord_request_pass(c);
+		coord_load_add(
+			&c->load, COORD_WORK_ANSWER, loop_now(c->p->loop) - agent->last_heard);
 	}
 }
 
 /* Marks an agent as disconnected after its connection closed or timed out. */
 static void agent_disconnected(struct wl_coord *c, struct agent_conn *agent)
 {
+	g_hash_table_remove(c->agents_by_peer, &agent->peer);
 	agent->peer = PEER_NONE;
 	if (agent->has_pending_report)
 		wl_msg_clear(&agent->pending_report);
@@ -317,12 +318,10 @@
 
 void wl_coord_handle_peer_closed(struct wl_coord *c, peer_id peer)
 {
-	for (guint i = 0; i < c->agents->len; i++) {
-		struct agent_conn *agent = c->agents->pdata[i];
+	struct agent_conn *agent = agent_of_peer(c, peer);
 
-		if (agent->peer == peer && peer != PEER_NONE)
-			agent_disconnected(c, agent);
-	}
+	if (agent != NULL)
+		agent_disconnected(c, agent);
 }
 
 /*
@@ -372,6 +371,7 @@
 	}
 	if (!c->loaded || c->term_lost)
 		return;
+	coord_load_log(&c->load, now, c->scheduler);
 	expired_nodes = wl_nodes_expired(c->scheduler, now);
 	for (guint i = 0; i < expired_nodes->len; i++) {
 		record_writer_set_node(c->records, expired_nodes->pdata[i], false);
@@ -435,6 +435,7 @@
 	const struct wl_callbacks out = {.start = order_start,
 		.stop = order_stop,
 		.pace = order_pace,
+		.stored = order_stored,
 		.dirty = on_job_dirty,
 		.arg = c};
 
@@ -449,6 +450,8 @@
 	 */
 	c->term_confirmed_at = loop_now(p->loop);
 	c->agents = g_ptr_array_new();
+	c->agents_by_node = g_hash_table_new(g_str_hash, g_str_equal);
+	c->agents_by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->stored_progress =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stored_progress_free);
 	c->pending_cancels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -480,6 +483,7 @@
 	if (c->stopping)
 		return;
 	c->stopping = true;
+	record_writer_flush(c->records);
 	for (guint i = 0; i < c->agents->len; i++)
 		send_coordinator_heartbeat(c, c->agents->pdata[i], 0);
 	event_log(EV_TERM_LOST, "term=%" PRIu64 " why=\"process is stopping\"", c->term);
@@ -506,6 +510,8 @@
 		free(agent);
 	}
 	g_ptr_array_unref(c->agents);
+	g_hash_table_destroy(c->agents_by_node);
+	g_hash_table_destroy(c->agents_by_peer);
 	g_hash_table_destroy(c->stored_progress);
 	g_hash_table_destroy(c->pending_cancels);
 	free(c);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -149,13 +149,16 @@
 struct record_writer *record_writer_new(struct wl_process *p, struct wl *scheduler,
 	int64_t term_revision, record_stored_fn *on_stored, loop_fn *on_term_lost, void *arg);
 void record_writer_free(struct record_writer *r);
-void record_writer_mark_dirty(struct record_writer *r, const char *id);
+void record_writer_mark_dirty(
+	struct record_writer *r, const char *id, enum wl_store_urgency urgency);
 /* Notes a revision in the store that the job's progress record has at least. */
 void record_writer_note_revision(struct record_writer *r, const char *id, int64_t revision);
 void record_writer_remove_job(struct record_writer *r, const char *id);
 void record_writer_set_node(struct record_writer *r, const char *node, bool present);
 bool record_writer_has_node(const struct record_writer *r, const char *node);
 void record_writer_add_stored_node(struct record_writer *r, const char *node);
+/* Writes the changes that wait for later ones without further delay. */
+void record_writer_flush(struct record_writer *r);
 bool record_writer_idle(const struct record_writer *r);
 
 /* wl-agent.c */
--- a/packages/transport/peer-net.c
+++ b/packages/transport/peer-net.c
@@ -35,7 +35,8 @@
 	bool connecting;
 	bool open; /* the peer has sent a valid greeting */
 	bool want_write;
-	bool closing; /* peer_close has been called */
+	bool flush_pending; /* in peer_net.to_flush */
+	bool closing;	    /* peer_close has been called */
 	int64_t created_at;
 	struct frame_codec *codec;
 	GByteArray *recv_buf;
@@ -52,6 +53,7 @@
 	struct peer **slots;
 	uint32_t *generations;
 	uint32_t count;
+	GArray *to_flush; /* handles of the connections that got output since the last flush */
 };
 
 /* Arguments of a function posted to the loop. */
@@ -194,6 +196,40 @@
 	return true;
 }
 
+/* Writes the output that was queued since the last call. */
+static void flush_queued(void *arg)
+{
+	struct peer_net *n = arg;
+
+	for (guint i = 0; i < n->to_flush->len; i++) {
+		struct peer *p = find_peer(n, g_array_index(n->to_flush, peer_id, i));
+
+		if (p == NULL)
+			continue;
+		p->flush_pending = false;
+		if (!p->want_write)
+			flush_peer(p);
+	}
+	g_array_set_size(n->to_flush, 0);
+}
+
+/*
+ * Has the queued output of a connection written before the loop waits again, together with
+ * what else is queued by then. While the socket is full, its write event does so instead.
+ */
+static void queue_flush(struct peer *p)
+{
+	struct peer_net *n = p->net;
+	peer_id id = handle_of(p);
+
+	if (p->want_write || p->flush_pending)
+		return;
+	p->flush_pending = true;
+	if (n->to_flush->len == 0)
+		loop_defer(n->loop, flush_queued, n);
+	g_array_append_val(n->to_flush, id);
+}
+
 /* Decodes and delivers the buffered input; false if the connection was dropped. */
 static bool process_input(struct peer *p)
 {
@@ -317,6 +353,7 @@
 	n->keys = keys;
 	n->events = *events;
 	n->listen_fd = -1;
+	n->to_flush = g_array_new(FALSE, FALSE, sizeof(peer_id));
 	n->greeting_timer = loop_timer_add(l, GREETING_CHECK_INTERVAL_NS,
 		GREETING_CHECK_INTERVAL_NS, drop_ungreeted_peers, n);
 	return n;
@@ -336,6 +373,8 @@
 		drop_peer(p, NULL);
 	}
 	loop_timer_del(n->loop, n->greeting_timer);
+	loop_defer_del(n->loop, flush_queued, n);
+	g_array_unref(n->to_flush);
 	if (n->listen_fd >= 0) {
 		loop_del_fd(n->loop, n->listen_fd);
 		close(n->listen_fd);
@@ -391,7 +430,7 @@
 	}
 	frame_encode(p->codec, p->send_buf, body, len);
 	counter_add(&frames_out, 1);
-	set_want_write(p, true);
+	queue_flush(p);
 	return true;
 }
 
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -78,6 +78,8 @@
 		u->step = &j->spec.steps[s];
 		u->occurrence = k;
 		u->step_index = s;
+		name_set(&u->label, u->step->label);
+		name_set(&u->data_rack, u->step->data_rack);
 		u->waiting_count = u->step->count;
 		u->ready_at = u->step->after_len == 0 ? now : 0;
 		u->tasks = xcalloc(u->step->count, sizeof(*u->tasks));
@@ -125,22 +127,22 @@
 			j->attempts_max = FALLBACK_ATTEMPTS;
 			j->stretch = FALLBACK_STRETCH;
 		}
-		j->service = j->spec.service;
+		name_set(&j->service, j->spec.service);
 		return;
 	}
 	j->priority = q->priority;
 	j->attempts_max = MAX(q->attempts_max, 1);
 	j->stretch = q->stretch;
 	j->target = q->target_ms * NSEC_PER_MSEC;
-	j->service = q->service;
+	name_set(&j->service, q->service);
 	j->approval = q->approval;
 }
 
 /* Increments the version of a job's progress and requests that it be stored. */
-void job_request_store(struct wl_job *j)
+void job_request_store(struct wl_job *j, enum wl_store_urgency urgency)
 {
 	j->version++;
-	j->wl->callbacks.dirty(j->wl->callbacks.arg, j->spec.id);
+	j->wl->callbacks.dirty(j->wl->callbacks.arg, j->spec.id, urgency);
 }
 
 /*
@@ -213,7 +215,9 @@
 	j->wl = w;
 	fields_copy(&wl_spec_fields, &j->spec, spec);
 	j->added_at = now;
+	j->demand = org_demand_get(w, j->spec.org);
 	w->changed = true;
+	w->demands_stale = true;
 	job_update_settings(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
@@ -245,11 +249,12 @@
 		return;
 	j->state = state;
 	j->wl->changed = true;
+	j->wl->demands_stale = true;
 	j->ended_ms = wall / NSEC_PER_MSEC;
 	event_log(EV_JOB_END, "job=%s state=%s why=\"%s\" after_ms=%" PRId64, j->spec.id,
 		wl_state_name(state), why, (now - j->added_at) / NSEC_PER_MSEC);
 	job_stop_runs(j, now, why);
-	job_request_store(j);
+	job_request_store(j, WL_STORE_NOW);
 }
 
 /* Cancels a job unless it has ended. */
@@ -336,10 +341,14 @@
 static void job_free(struct wl_job *j)
 {
 	for (uint32_t k = 0; k < j->occurrences_len; k++) {
-		for (uint32_t s = 0; s < j->spec.steps_len; s++)
+		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
 			free(j->occurrences[k][s].tasks);
+			name_free(j->occurrences[k][s].label);
+			name_free(j->occurrences[k][s].data_rack);
+		}
 		free(j->occurrences[k]);
 	}
+	name_free(j->service);
 	free(j->occurrences);
 	free(j->estimates);
 	fields_clear(&wl_spec_fields, &j->spec);
@@ -402,20 +411,38 @@
 	job_free(j);
 }
 
+/* Parses ".NUMBER" and advances past it; false if there is none or it exceeds 32 bits. */
+static bool parse_part(const char **p, uint32_t *out)
+{
+	uint64_t n = 0;
+
+	if (**p != '.' || !g_ascii_isdigit((*p)[1]))
+		return false;
+	for ((*p)++; g_ascii_isdigit(**p); (*p)++) {
+		n = n * 10 + (uint64_t)(**p - '0');
+		if (n > UINT32_MAX)
+			return false;
+	}
+	*out = (uint32_t)n;
+	return true;
+}
+
 /*
  * Returns the task with a name, or NULL. Opens its occurrence if necessary: a worker that names
  * the task may be running it before the occurrence is due on this coordinator's clock.
  */
 struct wl_task *job_task(struct wl *w, const char *name, int64_t now)
 {
-	char id[WL_ID_LEN + 1];
-	unsigned int k, s, i;
-	int parsed_len = 0;
+	char id[WL_ID_LEN + 1] = "";
+	const char *p = name;
+	uint32_t k, s, i;
 	struct wl_job *j;
 
-	if (name == NULL ||
-		sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &k, &s, &i, &parsed_len) != 4 ||
-		name[parsed_len] != '\0')
+	if (name == NULL || strlen(name) <= WL_ID_LEN)
+		return NULL;
+	memcpy(id, name, WL_ID_LEN);
+	p += WL_ID_LEN;
+	if (!parse_part(&p, &k) || !parse_part(&p, &s) || !parse_part(&p, &i) || *p != '\0')
 		return NULL;
 	j = wl_find_job(w, id);
 	if (j == NULL || s >= j->spec.steps_len || k >= occurrence_count(j))
@@ -437,6 +464,11 @@
 	w->callbacks = *out;
 	w->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	w->nodes = g_ptr_array_new();
+	w->nodes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	w->unacked_nodes = g_ptr_array_new();
+	w->racks = g_ptr_array_new_with_free_func(rack_free);
+	w->no_nodes = g_ptr_array_new();
+	w->demands = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, org_demand_free);
 	TAILQ_INIT(&w->list);
 	return w;
 }
@@ -453,19 +485,24 @@
 
 		free(n->name);
 		free(n->instance_id);
-		free(n->service);
-		free(n->rack);
+		name_free(n->service);
+		name_free(n->rack);
 		g_ptr_array_unref(n->labels);
 		g_ptr_array_unref(n->orphans);
 		g_array_unref(n->pending_ends);
 		free(n);
 	}
 	g_ptr_array_unref(w->nodes);
+	g_ptr_array_unref(w->unacked_nodes);
+	g_ptr_array_unref(w->racks);
+	g_ptr_array_unref(w->no_nodes);
+	g_hash_table_destroy(w->nodes_by_name);
 	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
 		TAILQ_REMOVE(&w->list, j, entry);
 		job_free(j);
 	}
 	g_hash_table_destroy(w->jobs);
+	g_hash_table_destroy(w->demands);
 	if (w->run_stats != NULL)
 		g_hash_table_destroy(w->run_stats);
 	free(w);
@@ -478,6 +515,7 @@
 
 	w->config = c;
 	w->changed = true;
+	w->demands_stale = true;
 	TAILQ_FOREACH(j, &w->list, entry)
 		job_update_settings(j);
 }
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -29,13 +29,23 @@
 /* Returns the node with a name, or NULL. */
 struct wl_node *node_find(const struct wl *w, const char *name)
 {
-	for (guint i = 0; i < w->nodes->len; i++) {
-		struct wl_node *n = w->nodes->pdata[i];
+	return name != NULL ? g_hash_table_lookup(w->nodes_by_name, name) : NULL;
+}
 
-		if (strcmp(n->name, name) == 0)
-			return n;
-	}
-	return NULL;
+void name_free(void *name)
+{
+	if (name != NULL)
+		g_ref_string_release(name);
+}
+
+void name_set(char **to, const char *from)
+{
+	char *old = *to;
+
+	if (from != NULL && old != NULL && strcmp(old, from) == 0)
+		return;
+	*to = from != NULL ? g_ref_string_new_intern(from) : NULL;
+	name_free(old);
 }
 
 uint64_t wl_last_ordinal(const struct wl *w)
@@ -58,11 +68,12 @@
 	n = xcalloc(1, sizeof(*n));
 	n->wl = w;
 	n->name = xstrdup(name);
-	n->labels = g_ptr_array_new_with_free_func(free);
+	n->labels = g_ptr_array_new_with_free_func(name_free);
 	n->orphans = g_ptr_array_new_with_free_func(orphan_free);
 	n->pending_ends = g_array_new(FALSE, FALSE, sizeof(struct wl_pending_end));
 	TAILQ_INIT(&n->tasks);
 	g_ptr_array_add(w->nodes, n);
+	g_hash_table_insert(w->nodes_by_name, n->name, n);
 	return n;
 }
 
@@ -162,6 +173,7 @@
 	if (n->instance_id != NULL)
 		node_drop_runs(n, now, "the worker has restarted");
 	set_string(&n->instance_id, worker_instance);
+	n->wl->racks_stale = true;
 	n->last_end_processed = 0;
 	n->last_end_stored = 0;
 	n->last_end_acked = 0;
@@ -170,14 +182,36 @@
 	g_array_set_size(n->pending_ends, 0);
 }
 
+/* Whether a worker has exactly the labels of a report, in their order. */
+static bool labels_unchanged(const struct wl_node *n, const struct wl_report *r)
+{
+	if (n->labels->len != r->labels_len)
+		return false;
+	for (uint32_t i = 0; i < r->labels_len; i++) {
+		if (g_strcmp0(n->labels->pdata[i], r->labels[i].text) != 0)
+			return false;
+	}
+	return true;
+}
+
 /* Updates the worker's attributes, capacity and drain state from a report. */
 static void update_node_state(struct wl_node *n, int64_t now, const struct wl_report *r)
 {
-	set_string(&n->service, r->service);
-	set_string(&n->rack, r->rack);
-	g_ptr_array_set_size(n->labels, 0);
-	for (uint32_t i = 0; i < r->labels_len; i++)
-		g_ptr_array_add(n->labels, xstrdup(r->labels[i].text));
+	const char *rack = n->rack;
+
+	name_set(&n->service, r->service);
+	name_set(&n->rack, r->rack);
+	if (n->rack != rack)
+		n->wl->racks_stale = true;
+	if (!labels_unchanged(n, r)) {
+		g_ptr_array_set_size(n->labels, 0);
+		for (uint32_t i = 0; i < r->labels_len; i++) {
+			char *label = NULL;
+
+			name_set(&label, r->labels[i].text);
+			g_ptr_array_add(n->labels, label);
+		}
+	}
 	n->capacity = (struct wl_resources){.cores_m = r->cores_m,
 		.memory_mb = r->memory_mb,
 		.accelerators = r->accelerators};
@@ -208,6 +242,9 @@
 		pending.job = t != NULL ? t->unit->job : NULL;
 		pending.version = pending.job != NULL ? pending.job->version : 0;
 		g_array_append_val(n->pending_ends, pending);
+		if (!n->unacked)
+			g_ptr_array_add(n->wl->unacked_nodes, n);
+		n->unacked = true;
 	}
 }
 
@@ -408,6 +445,7 @@
 			g_ptr_array_add(out, g_strdup(n->name));
 			free(n->instance_id);
 			n->instance_id = NULL;
+			w->racks_stale = true;
 			continue;
 		}
 		if (n->linked || now - n->last_contact_at <= w->limits.silence_max)
@@ -419,6 +457,7 @@
 		node_release_unconfirmed(n, now);
 		free(n->instance_id);
 		n->instance_id = NULL;
+		w->racks_stale = true;
 	}
 	return out;
 }
@@ -470,18 +509,11 @@
 	job_send_starts(j, now);
 }
 
-/*
- * Sets number to the highest finished run of a node up to which all are stored, and records it
- * as acknowledged. Returns false, without setting it, if it was returned before.
- */
-bool wl_node_take_ends_to_ack(
-	struct wl *w, const char *name, const char **worker_instance, uint64_t *number)
+/* Drops the pending ends of a node that are stored. Returns whether any is left. */
+static bool drop_stored_ends(struct wl_node *n)
 {
-	struct wl_node *n = node_find(w, name);
 	guint stored_count = 0;
 
-	if (n == NULL || n->instance_id == NULL)
-		return false;
 	while (stored_count < n->pending_ends->len) {
 		const struct wl_pending_end *e =
 			&g_array_index(n->pending_ends, struct wl_pending_end, stored_count);
@@ -493,10 +525,43 @@
 	}
 	if (stored_count > 0)
 		g_array_remove_range(n->pending_ends, 0, stored_count);
-	if (n->last_end_stored <= n->last_end_acked)
-		return false;
+	return n->pending_ends->len > 0;
+}
+
+/* Acknowledges the ends of a node that are stored and that were not acknowledged before. */
+static void node_ack_ends(struct wl_node *n)
+{
+	struct wl_stored note = {.term = n->wl->term};
+
+	if (n->instance_id == NULL || n->last_end_stored <= n->last_end_acked)
+		return;
 	n->last_end_acked = n->last_end_stored;
-	*worker_instance = n->instance_id;
-	*number = n->last_end_stored;
-	return true;
+	note.worker_instance = n->instance_id;
+	note.number = n->last_end_stored;
+	n->wl->callbacks.stored(n->wl->callbacks.arg, n->name, &note);
+}
+
+void wl_ack_stored_ends(struct wl *w)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < w->unacked_nodes->len; i++) {
+		struct wl_node *n = w->unacked_nodes->pdata[i];
+
+		n->unacked = drop_stored_ends(n);
+		node_ack_ends(n);
+		if (n->unacked)
+			w->unacked_nodes->pdata[kept++] = n;
+	}
+	g_ptr_array_set_size(w->unacked_nodes, (gint)kept);
+}
+
+void wl_node_connected(struct wl *w, const char *name)
+{
+	struct wl_node *n = node_find(w, name);
+
+	if (n == NULL)
+		return;
+	n->last_end_acked = 0;
+	node_ack_ends(n);
 }
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -209,7 +209,7 @@
 	}
 	if (j->state == WL_QUEUED)
 		j->state = WL_RUNNING;
-	job_request_store(j);
+	job_request_store(j, WL_STORE_NOW);
 }
 
 /* Deducts a plan from the other view as well; planning deducted it from the used one. */
@@ -311,7 +311,30 @@
 		return;
 	j->checkpoints_unsaved = false;
 	j->checkpoints_at = now;
-	job_request_store(j);
+	job_request_store(j, WL_STORE_SOON);
+}
+
+void wl_totals(const struct wl *w, struct wl_totals *out)
+{
+	const struct wl_job *j;
+	const struct wl_task *t;
+
+	*out = (struct wl_totals){0};
+	TAILQ_FOREACH(j, &w->list, entry) {
+		if (wl_state_ended(j->state))
+			continue;
+		for (uint32_t k = 0; k < j->occurrences_len; k++) {
+			for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+				if (unit_dependencies_met(&j->occurrences[k][s]))
+					out->waiting_tasks +=
+						j->occurrences[k][s].waiting_count;
+			}
+		}
+	}
+	for (guint i = 0; i < w->nodes->len; i++) {
+		TAILQ_FOREACH(t, &((struct wl_node *)w->nodes->pdata[i])->tasks, on_node)
+			out->placed_tasks++;
+	}
 }
 
 bool wl_pass_needed(const struct wl *w)
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -26,11 +26,11 @@
 	r->accelerators += n->accelerators;
 }
 
-/* Whether a worker has a label. */
+/* Whether a worker has an interned label. */
 static bool has_label(const struct wl_node *n, const char *label)
 {
 	for (guint i = 0; i < n->labels->len; i++) {
-		if (g_strcmp0(n->labels->pdata[i], label) == 0)
+		if (n->labels->pdata[i] == label)
 			return true;
 	}
 	return false;
@@ -40,8 +40,7 @@
 bool node_eligible(const struct wl_node *n, const struct wl_unit *u)
 {
 	return n->usable && (!n->headroom || n->wl->may_use_headroom) &&
-	       g_strcmp0(n->service, u->job->service) == 0 &&
-	       (u->step->label == NULL || has_label(n, u->step->label));
+	       n->service == u->job->service && (u->label == NULL || has_label(n, u->label));
 }
 
 /* Number of tasks of a unit on a worker, including the planned ones. */
@@ -79,10 +78,10 @@
 	const struct wl_task *t, const struct wl_resources *need, int64_t now)
 {
 	double score = node_failure_score(n, now) + (t->avoid_node == n ? 1.0 : 0.0);
-	const char *data_rack = t->unit->step->data_rack;
+	const char *data_rack = t->unit->data_rack;
 
 	return (struct place_cost){.unreliability = score > FAILURE_SCORE_AVOID ? score : 0,
-		.off_rack = data_rack != NULL && g_strcmp0(data_rack, n->rack) != 0,
+		.off_rack = data_rack != NULL && data_rack != n->rack,
 		.accelerators_left = r->accelerators - need->accelerators,
 		.cores_left = r->cores_m - need->cores_m};
 }
@@ -114,62 +113,95 @@
 	       resources_fit(&n->unreserved, need);
 }
 
-/* Cheapest worker that fits a task, or NULL; a non-NULL rack restricts the search to it. */
-static struct wl_node *best_node(struct wl *w, const struct wl_task *t, int64_t now,
+/* A worker that fits a task of the unit that is being placed. */
+struct place_option {
+	struct wl_node *node;
+	struct place_cost cost;
+	guint position; /* breaks ties */
+};
+
+/* Orders options by cost, then by position. */
+static gint compare_options(gconstpointer pa, gconstpointer pb)
+{
+	const struct place_option *a = pa;
+	const struct place_option *b = pb;
+
+	if (cost_is_lower(&a->cost, &b->cost))
+		return -1;
+	if (cost_is_lower(&b->cost, &a->cost))
+		return 1;
+	return a->position < b->position ? -1 : 1;
+}
+
+/* The workers of a rack, or of all if it is NULL, that fit a task; cheapest first. */
+static GArray *list_options(struct wl *w, const struct wl_task *t, int64_t now,
 	enum placement_view view, const char *rack, const GArray *plan)
 {
 	struct wl_resources need = task_need(t->unit->step);
-	struct wl_node *best = NULL;
-	struct place_cost least = {0};
+	const GPtrArray *nodes = rack_nodes(w, rack);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct place_option));
 
-	for (guint i = 0; i < w->nodes->len; i++) {
-		struct wl_node *n = w->nodes->pdata[i];
+	for (guint i = 0; i < nodes->len; i++) {
+		struct wl_node *n = nodes->pdata[i];
 		struct wl_available *r = available_on(n, view);
-		struct place_cost c;
+		struct place_option o = {.node = n, .position = i};
 
-		if (!node_eligible(n, t->unit) || !resources_fit(r, &need) ||
-			!respects_reservation(n, t, &need, now))
-			continue;
-		if (rack != NULL && g_strcmp0(rack, n->rack) != 0)
-			continue;
-		if (!below_worker_limit(t->unit, n, plan))
+		if (!resources_fit(r, &need) || !node_eligible(n, t->unit) ||
+			!respects_reservation(n, t, &need, now) ||
+			!below_worker_limit(t->unit, n, plan))
 			continue;
-		c = compute_cost(n, r, t, &need, now);
-		if (best == NULL || cost_is_lower(&c, &least)) {
-			best = n;
-			least = c;
-		}
+		o.cost = compute_cost(n, r, t, &need, now);
+		g_array_append_val(out, o);
+	}
+	g_array_sort(out, compare_options);
+	return out;
+}
+
+/* Returns the next waiting task of a unit from an index on, or NULL. */
+static struct wl_task *next_waiting(struct wl_unit *u, uint32_t *index)
+{
+	while (*index < u->step->count) {
+		struct wl_task *t = &u->tasks[(*index)++];
+
+		if (t->phase == TASK_WAITING && t->node == NULL)
+			return t;
 	}
-	return best;
+	return NULL;
 }
 
-/* Plans the waiting tasks of a unit one by one; returns how many were placed. */
+/*
+ * Plans the waiting tasks of a unit; returns how many were placed. All tasks request the same,
+ * and a worker that takes one is a tighter fit for the next: each worker is filled before the
+ * next cheapest one is used. Tasks that avoid different workers are listed anew each.
+ */
 static uint32_t place_tasks(struct wl *w, struct wl_unit *u, int64_t now,
 	enum placement_view view, const char *rack, GArray *out)
 {
 	struct wl_resources need = task_need(u->step);
+	g_autoptr(GArray) options = NULL;
+	const struct wl_node *avoided = NULL;
 	uint32_t placed = 0;
-
-	for (uint32_t i = 0; i < u->step->count; i++) {
-		struct wl_task *t = &u->tasks[i];
-		struct placement p = {.task = t};
-
-		if (t->phase != TASK_WAITING || t->node != NULL)
-			continue;
-		p.node = best_node(w, t, now, view, rack, out);
-		if (p.node == NULL) {
-			if (u->step->gang)
-				break;
-			/*
-			 * All tasks request the same, so the next one will not fit either. If
-			 * this task has an avoid_node, the next one is tried nevertheless,
-			 * without need: avoid_node only raises the cost of a worker and
-			 * excludes none.
-			 */
-			if (t->avoid_node == NULL)
+	uint32_t index = 0;
+	guint next = 0;
+	struct placement p;
+
+	while ((p.task = next_waiting(u, &index)) != NULL) {
+		if (options == NULL || p.task->avoid_node != avoided) {
+			if (options != NULL)
+				g_array_unref(options);
+			options = list_options(w, p.task, now, view, rack, out);
+			avoided = p.task->avoid_node;
+			next = 0;
+		}
+		for (p.node = NULL; next < options->len; next++) {
+			p.node = g_array_index(options, struct place_option, next).node;
+			if (resources_fit(available_on(p.node, view), &need) &&
+				below_worker_limit(u, p.node, out))
 				break;
-			continue;
+			p.node = NULL;
 		}
+		if (p.node == NULL)
+			break;
 		resources_deduct(available_on(p.node, view), &need);
 		g_array_append_val(out, p);
 		placed++;
@@ -189,21 +221,58 @@
 	g_array_set_size(plan, from);
 }
 
-/* Names of all racks; the nodes own the strings. */
-GPtrArray *list_racks(const struct wl *w)
+void rack_free(void *arg)
 {
-	GPtrArray *out = g_ptr_array_new();
+	struct wl_rack *r = arg;
+
+	name_free(r->name);
+	g_ptr_array_unref(r->nodes);
+	free(r);
+}
+
+static struct wl_rack *rack_find(const struct wl *w, const char *name)
+{
+	for (guint i = 0; i < w->racks->len; i++) {
+		struct wl_rack *r = w->racks->pdata[i];
+
+		if (r->name == name)
+			return r;
+	}
+	return NULL;
+}
 
+const GPtrArray *list_racks(struct wl *w)
+{
+	if (!w->racks_stale)
+		return w->racks;
+	w->racks_stale = false;
+	g_ptr_array_set_size(w->racks, 0);
 	for (guint i = 0; i < w->nodes->len; i++) {
-		const struct wl_node *n = w->nodes->pdata[i];
-		bool known = false;
+		struct wl_node *n = w->nodes->pdata[i];
+		struct wl_rack *r = rack_find(w, n->rack);
 
-		for (guint k = 0; k < out->len && !known; k++)
-			known = g_strcmp0(out->pdata[k], n->rack) == 0;
-		if (!known && n->rack != NULL && n->instance_id != NULL)
-			g_ptr_array_add(out, n->rack);
+		if (n->rack == NULL || n->instance_id == NULL)
+			continue;
+		if (r == NULL) {
+			r = xcalloc(1, sizeof(*r));
+			name_set(&r->name, n->rack);
+			r->nodes = g_ptr_array_new();
+			g_ptr_array_add(w->racks, r);
+		}
+		g_ptr_array_add(r->nodes, n);
 	}
-	return out;
+	return w->racks;
+}
+
+const GPtrArray *rack_nodes(struct wl *w, const char *rack)
+{
+	const struct wl_rack *r;
+
+	if (rack == NULL)
+		return w->nodes;
+	list_racks(w);
+	r = rack_find(w, rack);
+	return r != NULL ? r->nodes : w->no_nodes;
 }
 
 /* Rack in which tasks of a unit already run, or NULL. */
@@ -237,24 +306,21 @@
 static uint32_t place_in_rack(
 	struct wl *w, struct wl_unit *u, int64_t now, enum placement_view view, GArray *out)
 {
-	g_autoptr(GPtrArray) racks = list_racks(w);
+	const GPtrArray *racks = list_racks(w);
 	const char *only = rack_in_use(u);
 	const char *best = NULL;
 	int64_t least = INT64_MAX;
 	guint from = out->len;
 
 	for (guint i = 0; i < racks->len; i++) {
-		const char *rack = racks->pdata[i];
+		const char *rack = ((struct wl_rack *)racks->pdata[i])->name;
 		uint32_t placed;
 		int64_t cost;
 
-		if (only != NULL && strcmp(only, rack) != 0)
+		if (only != NULL && only != rack)
 			continue;
 		placed = place_tasks(w, u, now, view, rack, out);
 		cost = free_capacity_score(out, from, view);
-		/* Without effect: place_unit calls this only for steps without a data rack. */
-		if (u->step->data_rack != NULL && strcmp(u->step->data_rack, rack) != 0)
-			cost += INT32_MAX;
 		placements_undo(out, from, view);
 		if (placed == u->waiting_count && cost < least) {
 			least = cost;
@@ -276,7 +342,7 @@
 
 	if (u->step->rack_local && u->step->data_rack == NULL && !anywhere)
 		return place_in_rack(w, u, now, view, out);
-	placed = place_tasks(w, u, now, view, anywhere ? NULL : u->step->data_rack, out);
+	placed = place_tasks(w, u, now, view, anywhere ? NULL : u->data_rack, out);
 	if (u->step->gang && placed < u->waiting_count) {
 		placements_undo(out, from, view);
 		return 0;
@@ -288,8 +354,7 @@
 static bool node_potentially_eligible(const struct wl_node *n, const struct wl_unit *u)
 {
 	return !n->has_left && !n->draining && n->instance_id != NULL &&
-	       g_strcmp0(n->service, u->job->service) == 0 &&
-	       (u->step->label == NULL || has_label(n, u->step->label));
+	       n->service == u->job->service && (u->label == NULL || has_label(n, u->label));
 }
 
 /*
@@ -298,25 +363,27 @@
  * Also true while any node awaits its report, but only if such a rack is known from the nodes
  * that have reported; if none is known, returns false.
  */
-bool preferred_rack_possible(const struct wl *w, const struct wl_unit *u)
+bool preferred_rack_possible(struct wl *w, const struct wl_unit *u)
 {
-	g_autoptr(GPtrArray) racks = list_racks(w);
+	const GPtrArray *racks = list_racks(w);
 	struct wl_resources need = task_need(u->step);
+	bool awaiting = false;
 
+	for (guint i = 0; i < w->nodes->len && !awaiting; i++)
+		awaiting = ((struct wl_node *)w->nodes->pdata[i])->awaiting_report;
 	for (guint i = 0; i < racks->len; i++) {
+		const struct wl_rack *rack = racks->pdata[i];
 		uint64_t fitting = 0;
 
-		if (u->step->data_rack != NULL &&
-			strcmp(u->step->data_rack, racks->pdata[i]) != 0)
+		if (u->data_rack != NULL && u->data_rack != rack->name)
 			continue;
-		for (guint k = 0; k < w->nodes->len; k++) {
-			const struct wl_node *n = w->nodes->pdata[k];
+		if (awaiting)
+			return true;
+		for (guint k = 0; k < rack->nodes->len; k++) {
+			const struct wl_node *n = rack->nodes->pdata[k];
 			uint64_t here = u->step->count;
 
-			if (n->awaiting_report)
-				return true;
-			if (!node_potentially_eligible(n, u) ||
-				g_strcmp0(n->rack, racks->pdata[i]) != 0)
+			if (!node_potentially_eligible(n, u))
 				continue;
 			if (need.cores_m > 0)
 				here = MIN(here, n->capacity.cores_m / need.cores_m);
@@ -345,7 +412,7 @@
  * waited for SPREAD_WAIT_SHARE of the time that it would lose elsewhere, or if waiting any
  * longer would miss the start time of its guarantee.
  */
-bool unit_may_spread(const struct wl *w, const struct wl_unit *u, int64_t now)
+bool unit_may_spread(struct wl *w, const struct wl_unit *u, int64_t now)
 {
 	int64_t waited = now - u->ready_at;
 	double lost = (w->limits.remote_penalty - 1) * (double)step_estimate(u->job, u->step);
--- a/packages/workload/wl-preempt.c
+++ b/packages/workload/wl-preempt.c
@@ -10,36 +10,65 @@
  */
 #define FAILURE_COST 100.0
 
-/*
- * Total accelerators that the unfinished urgent jobs of an organisation need, counting the
- * largest step of each.
- */
-static uint64_t urgent_demand(const struct wl *w, const char *org)
+void org_demand_free(void *arg)
 {
-	const struct wl_job *j;
-	uint64_t sum = 0;
+	struct wl_org_demand *d = arg;
 
+	free(d->org);
+	free(d);
+}
+
+struct wl_org_demand *org_demand_get(struct wl *w, const char *org)
+{
+	const char *name = org != NULL ? org : "";
+	struct wl_org_demand *d = g_hash_table_lookup(w->demands, name);
+
+	if (d != NULL)
+		return d;
+	d = xcalloc(1, sizeof(*d));
+	d->org = xstrdup(name);
+	g_hash_table_insert(w->demands, d->org, d);
+	return d;
+}
+
+/* Recomputes the demands of all organisations. */
+static void demands_update(struct wl *w)
+{
+	const struct wl_job *j;
+	GHashTableIter it;
+	gpointer value;
+
+	w->demands_stale = false;
+	g_hash_table_iter_init(&it, w->demands);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct wl_org_demand *d = value;
+		const struct wl_org *org = wl_config_org(w->config, d->org);
+
+		d->urgent = 0;
+		d->configured = org != NULL;
+		d->guaranteed = org != NULL ? org->guaranteed : 0;
+	}
 	TAILQ_FOREACH(j, &w->list, entry) {
 		uint64_t largest = 0;
 
-		if (j->priority != URGENT_PRIORITY || wl_state_ended(j->state) ||
-			g_strcmp0(j->spec.org, org) != 0)
+		if (j->priority != URGENT_PRIORITY || wl_state_ended(j->state))
 			continue;
 		for (uint32_t s = 0; s < j->spec.steps_len; s++)
 			largest = MAX(largest, (uint64_t)j->spec.steps[s].count *
 						       j->spec.steps[s].accelerators);
-		sum += largest;
+		j->demand->urgent += largest;
 	}
-	return sum;
 }
 
 /* Whether a unit is urgent and its organisation's urgent jobs are within its guarantee. */
-bool unit_within_guarantee(const struct wl *w, const struct wl_unit *u)
+bool unit_within_guarantee(struct wl *w, const struct wl_unit *u)
 {
-	const struct wl_org *org = wl_config_org(w->config, u->job->spec.org);
+	const struct wl_org_demand *d = u->job->demand;
 
-	return u->job->priority == URGENT_PRIORITY && org != NULL && org->guaranteed > 0 &&
-	       urgent_demand(w, org->name) <= org->guaranteed;
+	if (w->demands_stale)
+		demands_update(w);
+	return u->job->priority == URGENT_PRIORITY && d->guaranteed > 0 &&
+	       d->urgent <= d->guaranteed;
 }
 
 /*
@@ -47,9 +76,9 @@
  * ones only for a unit within its guarantee and if their own organisation exceeds its
  * guarantee. Units that limit unavailable tasks are never preempted.
  */
-static bool may_preempt(const struct wl *w, const struct wl_unit *u, bool within_guarantee)
+static bool may_preempt(struct wl *w, const struct wl_unit *u, bool within_guarantee)
 {
-	const struct wl_org *org;
+	const struct wl_org_demand *d = u->job->demand;
 
 	if (u->is_done || u->step->unavailable_max > 0)
 		return false;
@@ -57,8 +86,9 @@
 		return true;
 	if (!within_guarantee)
 		return false;
-	org = wl_config_org(w->config, u->job->spec.org);
-	return org == NULL || urgent_demand(w, org->name) > org->guaranteed;
+	if (w->demands_stale)
+		demands_update(w);
+	return !d->configured || d->urgent > d->guaranteed;
 }
 
 /* Work in core-seconds that is lost if a task is stopped now. */
@@ -131,7 +161,7 @@
 }
 
 /* The run on a node that loses least work and would free resources that are short. */
-static struct wl_task *cheapest_victim(const struct wl *w, const struct wl_node *n,
+static struct wl_task *cheapest_victim(struct wl *w, const struct wl_node *n,
 	const struct preemption *c, const struct wl_resources *need, int64_t now)
 {
 	struct wl_task *t;
@@ -163,6 +193,15 @@
 	return best;
 }
 
+/* Drops the victims from a position on and restores the loss without them. */
+static void victims_truncate(struct preemption *c, guint from, double loss)
+{
+	for (guint i = from; i < c->victims->len; i++)
+		adjust_available(c->victims->pdata[i], false);
+	g_ptr_array_set_size(c->victims, (gint)from);
+	c->loss = loss;
+}
+
 /* Selects victims on a node for one task; returns false with no change if that fails. */
 static bool preempt_on_node(struct wl *w, struct wl_node *n, const struct wl_resources *need,
 	struct preemption *c, int64_t now)
@@ -174,11 +213,7 @@
 		struct wl_task *v = cheapest_victim(w, n, c, need, now);
 
 		if (v == NULL) {
-			while (c->victims->len > from) {
-				adjust_available(c->victims->pdata[c->victims->len - 1], false);
-				g_ptr_array_set_size(c->victims, (gint)c->victims->len - 1);
-			}
-			c->loss = loss;
+			victims_truncate(c, from, loss);
 			return false;
 		}
 		g_ptr_array_add(c->victims, v);
@@ -192,10 +227,7 @@
 static void preemption_undo(struct preemption *c, GArray *plan, guint from)
 {
 	placements_undo(plan, from, VIEW_AFTER_STOPS);
-	for (guint i = 0; i < c->victims->len; i++)
-		adjust_available(c->victims->pdata[i], false);
-	g_ptr_array_set_size(c->victims, 0);
-	c->loss = 0;
+	victims_truncate(c, 0, 0);
 }
 
 /* Plans a task on the worker where preemption loses least work. */
@@ -203,29 +235,28 @@
 	const char *rack, struct preemption *c, GArray *plan)
 {
 	struct wl_resources need = task_need(u->step);
+	const GPtrArray *nodes = rack_nodes(w, rack);
 	struct wl_node *best = NULL;
 	double lowest = 0;
 	struct placement p = {.task = t};
 
-	for (guint i = 0; i < w->nodes->len; i++) {
-		struct wl_node *n = w->nodes->pdata[i];
-		struct preemption trial = {.victims = g_ptr_array_copy(c->victims, NULL, NULL),
-			.loss = c->loss,
-			.within_guarantee = c->within_guarantee};
+	for (guint i = 0; i < nodes->len; i++) {
+		struct wl_node *n = nodes->pdata[i];
+		guint from = c->victims->len;
+		double before = c->loss;
 		double loss;
 
-		if (node_eligible(n, u) && (rack == NULL || g_strcmp0(rack, n->rack) == 0) &&
-			below_worker_limit(u, n, plan) &&
-			preempt_on_node(w, n, &need, &trial, now)) {
-			loss = trial.loss + node_failure_score(n, now) * FAILURE_COST;
-			for (guint k = c->victims->len; k < trial.victims->len; k++)
-				adjust_available(trial.victims->pdata[k], false);
-			if (best == NULL || loss < lowest) {
-				best = n;
-				lowest = loss;
-			}
+		if (!node_eligible(n, u) || !below_worker_limit(u, n, plan) ||
+			!preempt_on_node(w, n, &need, c, now))
+			continue;
+		loss = c->loss + node_failure_score(n, now) * FAILURE_COST;
+		victims_truncate(c, from, before);
+		if (best == NULL || loss < lowest) {
+			best = n;
+			lowest = loss;
 		}
-		g_ptr_array_unref(trial.victims);
+		if (loss <= before)
+			break;
 	}
 	if (best == NULL || !preempt_on_node(w, best, &need, c, now))
 		return false;
@@ -252,22 +283,17 @@
 static bool preempt_in_rack(
 	struct wl *w, struct wl_unit *u, int64_t now, struct preemption *c, GArray *plan)
 {
+	const GPtrArray *racks = list_racks(w);
 	const char *best = NULL;
 	double lowest = 0;
 	guint from = plan->len;
 
-	for (guint i = 0; i < w->nodes->len; i++) {
-		const struct wl_node *n = w->nodes->pdata[i];
-		bool first = n->rack != NULL;
+	for (guint i = 0; i < racks->len; i++) {
+		const char *rack = ((struct wl_rack *)racks->pdata[i])->name;
 
-		for (guint k = 0; k < i && first; k++)
-			first = g_strcmp0(((struct wl_node *)w->nodes->pdata[k])->rack,
-					n->rack) != 0;
-		if (!first)
-			continue;
-		if (preempt_for_unit(w, u, now, n->rack, c, plan) &&
+		if (preempt_for_unit(w, u, now, rack, c, plan) &&
 			(best == NULL || c->loss < lowest)) {
-			best = n->rack;
+			best = rack;
 			lowest = c->loss;
 		}
 		preemption_undo(c, plan, from);
@@ -301,7 +327,7 @@
 	bool ok = false;
 
 	if (u->step->data_rack != NULL)
-		ok = preempt_for_unit(w, u, now, u->step->data_rack, &c, plan);
+		ok = preempt_for_unit(w, u, now, u->data_rack, &c, plan);
 	else if (u->step->rack_local)
 		ok = preempt_in_rack(w, u, now, &c, plan);
 	if (!ok && unit_may_spread(w, u, now)) {
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -119,6 +119,9 @@
 	 */
 	int64_t retry_at;
 	bool is_done;
+	/* Interned names of the step's label and data rack; NULL for none. */
+	char *label;
+	char *data_rack;
 };
 
 struct wl_job {
@@ -149,14 +152,23 @@
 	 */
 	double stretch;
 	int64_t target;
-	const char *service;
+	char *service; /* interned */
 	bool approval;
+	struct wl_org_demand *demand;
 	/* Cached run time estimates by step, valid while wl.recorded_runs is unchanged. */
 	int64_t *estimates;
 	unsigned int estimates_runs;
 	TAILQ_ENTRY(wl_job) entry;
 };
 
+/* What the unfinished urgent jobs of an organisation request, in accelerators. */
+struct wl_org_demand {
+	char *org;
+	uint64_t urgent; /* counting the largest step of each job */
+	uint64_t guaranteed;
+	bool configured; /* the configuration has the organisation */
+};
+
 /* A run that a worker reports but that is not the current run of any task. */
 struct wl_orphan {
 	char *task;
@@ -181,6 +193,7 @@
 	char *name;
 	/* wl_report.worker_instance; NULL if no worker is known or the last one is gone. */
 	char *instance_id;
+	/* Interned, so that equal names are equal pointers. */
 	char *service;
 	char *rack;
 	GPtrArray *labels;
@@ -206,6 +219,8 @@
 	/* Highest number that wl_node_take_ends_to_ack has returned, to be acknowledged. */
 	uint64_t last_end_acked;
 	GArray *pending_ends;
+	/* In wl.unacked_nodes: the node has pending ends. */
+	bool unacked;
 	GPtrArray *orphans;
 	struct wl_available free;	      /* unallocated; recomputed by each pass */
 	struct wl_available free_after_stops; /* free, plus what is being stopped */
@@ -224,6 +239,12 @@
 	TAILQ_HEAD(, wl_task) tasks;
 };
 
+/* The nodes of a rack that have a worker. */
+struct wl_rack {
+	char *name; /* interned */
+	GPtrArray *nodes;
+};
+
 /* The scheduler core of one coordinator term: jobs, nodes, configuration and statistics. */
 struct wl {
 	uint64_t term;
@@ -233,6 +254,15 @@
 	GHashTable *jobs;
 	TAILQ_HEAD(, wl_job) list;
 	GPtrArray *nodes;
+	GHashTable *nodes_by_name;
+	GPtrArray *unacked_nodes;
+	/* Racks in the order of their first node; rebuilt by list_racks if stale. */
+	GPtrArray *racks;
+	bool racks_stale;
+	GPtrArray *no_nodes; /* empty */
+	/* Demand by organisation; the figures are recomputed if stale. */
+	GHashTable *demands;
+	bool demands_stale;
 	uint64_t ordinal;
 	/* Run time statistics by queue. */
 	GHashTable *run_stats;
@@ -252,7 +282,7 @@
 struct wl_resources task_need(const struct wl_step *s);
 void job_update_settings(struct wl_job *j);
 void job_open_due_occurrences(struct wl_job *j, int64_t now, int64_t wall);
-void job_request_store(struct wl_job *j);
+void job_request_store(struct wl_job *j, enum wl_store_urgency urgency);
 void job_finish(
 	struct wl_job *j, int64_t now, int64_t wall, enum wl_state state, const char *why);
 int64_t job_next_due(const struct wl_job *j);
@@ -273,6 +303,10 @@
 void job_release_unconfirmed(struct wl_job *j, const struct wl_node *n, int64_t now);
 uint32_t next_attempt(const struct wl *w, uint32_t last);
 
+/* Replaces an interned name; NULL stands for none. */
+void name_set(char **to, const char *from);
+void name_free(void *name);
+
 /* wl-node.c */
 struct wl_node *node_find(const struct wl *w, const char *name);
 void node_drop_runs(struct wl_node *n, int64_t now, const char *why);
@@ -299,11 +333,15 @@
 uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum placement_view view,
 	bool anywhere, GArray *out);
 bool below_worker_limit(const struct wl_unit *u, const struct wl_node *n, const GArray *plan);
+/* The nodes of a rack, or all nodes if it is NULL. The name must be interned. */
+const GPtrArray *rack_nodes(struct wl *w, const char *rack);
 void placements_undo(GArray *plan, guint from, enum placement_view view);
-GPtrArray *list_racks(const struct wl *w);
-bool preferred_rack_possible(const struct wl *w, const struct wl_unit *u);
+/* The racks of all known workers; owned by the core. */
+const GPtrArray *list_racks(struct wl *w);
+void rack_free(void *arg);
+bool preferred_rack_possible(struct wl *w, const struct wl_unit *u);
 bool unit_prefers_rack(const struct wl_unit *u);
-bool unit_may_spread(const struct wl *w, const struct wl_unit *u, int64_t now);
+bool unit_may_spread(struct wl *w, const struct wl_unit *u, int64_t now);
 
 /* wl-headroom.c */
 void headroom_record_job(struct wl *w, const struct wl_job *j);
@@ -332,7 +370,10 @@
 /* wl-preempt.c */
 bool preempt_for_urgent_unit(
 	struct wl *w, struct wl_unit *u, int64_t now, bool within_guarantee, GArray *plan);
+/* Returns the demand of an organisation; a job keeps it for its lifetime. */
+struct wl_org_demand *org_demand_get(struct wl *w, const char *org);
+void org_demand_free(void *arg);
 /* Whether a unit is urgent and its organisation's urgent jobs need no more than guaranteed. */
-bool unit_within_guarantee(const struct wl *w, const struct wl_unit *u);
+bool unit_within_guarantee(struct wl *w, const struct wl_unit *u);
 
 #endif
--- a/packages/workload/wl-reserve.c
+++ b/packages/workload/wl-reserve.c
@@ -117,7 +117,7 @@
 		struct reservation r = g_array_index(candidates, struct reservation, i);
 		uint32_t fitting;
 
-		if (rack != NULL && g_strcmp0(rack, r.node->rack) != 0)
+		if (rack != NULL && rack != r.node->rack)
 			continue;
 		fitting = count_fitting(r.remainder, &need, remaining);
 		for (uint32_t n = 0; n < fitting; n++)
@@ -138,15 +138,15 @@
 {
 	g_autoptr(GArray) trial = g_array_new(FALSE, FALSE, sizeof(struct reservation));
 	g_autoptr(GArray) candidates = reservation_candidates(w, u, now, basis);
-	g_autoptr(GPtrArray) racks = NULL;
+	const GPtrArray *racks = list_racks(w);
 	int64_t earliest = INT64_MAX;
 
 	if (!u->step->rack_local || u->step->data_rack != NULL || anywhere)
 		return plan_reservations(
-			u, now, candidates, anywhere ? NULL : u->step->data_rack, best);
-	racks = list_racks(w);
+			u, now, candidates, anywhere ? NULL : u->data_rack, best);
 	for (guint i = 0; i < racks->len; i++) {
-		int64_t at = plan_reservations(u, now, candidates, racks->pdata[i], trial);
+		const struct wl_rack *rack = racks->pdata[i];
+		int64_t at = plan_reservations(u, now, candidates, rack->name, trial);
 
 		if (at >= earliest)
 			continue;
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -234,7 +234,7 @@
 		task_complete(&u->tasks[i]);
 	if (u->done_count == u->step->count)
 		unit_complete(u, now, wall);
-	job_request_store(u->job);
+	job_request_store(u->job, u->is_done ? WL_STORE_NOW : WL_STORE_SOON);
 }
 
 /*
@@ -257,7 +257,7 @@
 	if (*failures >= u->job->attempts_max && !u->step->long_running)
 		job_finish(u->job, now, wall, WL_FAILED,
 			"the failures of a task or gang reached attempts_max");
-	job_request_store(u->job);
+	job_request_store(u->job, WL_STORE_SOON);
 }
 
 /* Saves the checkpoint of a run that has ended; the members of a gang share it. */
@@ -354,7 +354,7 @@
 		task_detach(t, now);
 		save_checkpoint(t, e->checkpoint);
 		if (*t->checkpoint != '\0')
-			job_request_store(t->unit->job);
+			job_request_store(t->unit->job, WL_STORE_SOON);
 	}
 	if (e->how == WL_END_FAILED) {
 		node_record_failure(n, now);
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -377,13 +377,21 @@
 	int64_t retention;   /* how long a job is kept after it ended */
 };
 
+/* Whether anything waits for a change to be stored, other than the memory that it takes. */
+enum wl_store_urgency {
+	WL_STORE_NOW, /* starts, dependent steps or the job's caller */
+	WL_STORE_SOON /* nothing: the change may be stored together with later ones */
+};
+
 /* Callbacks through which the core sends orders and requests storage. */
 struct wl_callbacks {
 	void (*start)(void *arg, const char *node, const struct wl_start_order *o);
 	void (*stop)(void *arg, const char *node, const struct wl_stop_order *o);
 	void (*pace)(void *arg, const char *node, const struct wl_pace_order *o);
+	/* The node's ended runs up to a number are stored: the worker may forget them. */
+	void (*stored)(void *arg, const char *node, const struct wl_stored *s);
 	/* The job's progress must be stored; the caller then calls wl_job_stored. */
-	void (*dirty)(void *arg, const char *id);
+	void (*dirty)(void *arg, const char *id, enum wl_store_urgency urgency);
 	void *arg;
 };
 
@@ -418,13 +426,20 @@
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r);
 void wl_node_unreachable(struct wl *w, int64_t now, const char *node);
 void wl_node_answer(struct wl *w, int64_t now, const struct wl_answer_note *a);
+/* Calls wl_callbacks.stored for each node of which more finished runs are stored than before.
+ */
+void wl_ack_stored_ends(struct wl *w);
 /*
- * Takes the number up to which the finished runs of the node's current instance are stored, so
- * that the caller acknowledges them to the worker. Returns true only once for each number: it
- * counts as acknowledged from then on. The caller doesn't own worker_instance.
+ * A node's agent has connected anew. What was sent on its last connection may be lost, so the
+ * number of its stored runs is sent again.
  */
-bool wl_node_take_ends_to_ack(
-	struct wl *w, const char *node, const char **worker_instance, uint64_t *number);
+void wl_node_connected(struct wl *w, const char *node);
+/* How many tasks of ready units wait, and how many are placed on workers. */
+struct wl_totals {
+	unsigned int waiting_tasks;
+	unsigned int placed_tasks;
+};
+void wl_totals(const struct wl *w, struct wl_totals *out);
 /* Ordinal of the last start, wl_start.ordinal. */
 uint64_t wl_last_ordinal(const struct wl *w);
 size_t wl_node_count(const struct wl *w);
--- a/tests/property/prop-workload.cc
+++ b/tests/property/prop-workload.cc
@@ -293,7 +293,14 @@
 static void ignore_pace(void *, const char *, const wl_pace_order *)
 {
 }
-static void mark_dirty(void *arg, const char *id)
+static void send_stored(void *arg, const char *node, const wl_stored *s)
+{
+	wl_msg m{};
+	m.kind = WL_MSG_STORED;
+	m.stored = *s;
+	send_to_agent((coordinator *)arg, node, m);
+}
+static void mark_dirty(void *arg, const char *id, wl_store_urgency)
 {
 	((coordinator *)arg)->dirty.insert(id);
 }
@@ -363,6 +370,7 @@
 	out.start = send_start;
 	out.stop = send_stop;
 	out.pace = ignore_pace;
+	out.stored = send_stored;
 	out.dirty = mark_dirty;
 	out.arg = c.get();
 	c->core = wl_new(c->term, &limits, &out);
@@ -453,11 +461,7 @@
 		wl_node_report(c->core, sim->now, sim->now, &r);
 	else
 		c->roster_pending.insert(k.name);
-	const char *stored_instance;
-	uint64_t number;
-	if (wl_node_take_ends_to_ack(c->core, k.name.c_str(), &stored_instance, &number) &&
-		worker_instance == stored_instance)
-		k.stored_end_number = std::max(k.stored_end_number, number);
+	wl_ack_stored_ends(c->core);
 }
 
 /* Delivers the queued orders to the agent of a worker. */
@@ -496,6 +500,10 @@
 					sim->now >= k.disconnected_until)
 					wl_node_answer(c->core, sim->now, &note);
 			}
+		} else if (m.kind == WL_MSG_STORED && term_matches &&
+			   k.instance_name() == m.stored.worker_instance) {
+			k.stored_end_number =
+				std::max(k.stored_end_number, m.stored.number);
 		} else if (m.kind == WL_MSG_STOP && term_matches &&
 			   k.instance_name() == m.stop.worker_instance &&
 			   k.term >= k.fencing_term) {
@@ -615,8 +623,10 @@
 	if (l == nullptr || sim->now < k.disconnected_until)
 		return;
 	if (k.coordinator_index == l->index) {
-		if (k.connection_broken)
+		if (k.connection_broken) {
 			k.last_ordinal = wl_last_ordinal(l->core);
+			wl_node_connected(l->core, k.name.c_str());
+		}
 		k.connection_broken = false;
 		return;
 	}
@@ -633,6 +643,7 @@
 	k.coordinator_index = l->index;
 	k.term = l->term;
 	k.last_ordinal = wl_last_ordinal(l->core);
+	wl_node_connected(l->core, k.name.c_str());
 }
 
 static void inject_faults(simulation *sim)
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -21,6 +21,8 @@
 	char last_node[16];
 	char last_stop[80];
 	uint32_t last_attempt;
+	uint64_t acked; /* highest finished run that a worker was told to forget */
+	unsigned int acks;
 	GPtrArray *dirty; /* ids of jobs whose progress must be stored */
 	bool store_down;
 };
@@ -52,10 +54,20 @@
 	(void)o;
 }
 
-static void on_dirty(void *arg, const char *id)
+static void on_stored(void *arg, const char *node, const struct wl_stored *s)
 {
 	struct fixture *f = arg;
 
+	(void)node;
+	f->acks++;
+	f->acked = s->number;
+}
+
+static void on_dirty(void *arg, const char *id, enum wl_store_urgency urgency)
+{
+	struct fixture *f = arg;
+
+	(void)urgency;
 	g_ptr_array_add(f->dirty, g_strdup(id));
 }
 
@@ -103,6 +115,7 @@
 	const struct wl_callbacks out = {.start = on_start,
 		.stop = on_stop,
 		.pace = on_pace,
+		.stored = on_stored,
 		.dirty = on_dirty,
 		.arg = f};
 	struct wl_org *org = xcalloc(1, sizeof(*org));
@@ -399,8 +412,6 @@
 	struct fixture f;
 	struct wl_ended end = {
 		.number = 1, .task = (char *)"0000000000000001.0.0.0", .attempt = 1};
-	const char *worker_instance;
-	uint64_t number;
 
 	fixture_init(&f);
 	report_worker(&f, "w1", NULL, 0, NULL, 0);
@@ -408,11 +419,41 @@
 	run_pass(&f);
 	f.store_down = true;
 	report_worker(&f, "w1", NULL, 0, &end, 1);
-	CU_ASSERT_FALSE(wl_node_take_ends_to_ack(f.wl, "w1", &worker_instance, &number));
+	wl_ack_stored_ends(f.wl);
+	CU_ASSERT_EQUAL(f.acks, 0);
 	f.store_down = false;
 	store_dirty_jobs(&f);
-	CU_ASSERT_TRUE_FATAL(wl_node_take_ends_to_ack(f.wl, "w1", &worker_instance, &number));
-	CU_ASSERT_EQUAL(number, 1);
+	wl_ack_stored_ends(f.wl);
+	CU_ASSERT_EQUAL(f.acked, 1);
+	wl_ack_stored_ends(f.wl);
+	CU_ASSERT_EQUAL(f.acks, 1);
+	fixture_clear(&f);
+}
+
+/*
+ * The acknowledgement of a finished run is lost with the agent's connection. The worker lists
+ * the run until it is acknowledged, so the next connection gets the number again.
+ */
+static void test_ack_repeated_on_new_connection(void)
+{
+	struct fixture f;
+	struct wl_ended end = {
+		.number = 1, .task = (char *)"0000000000000001.0.0.0", .attempt = 1};
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "urgent", 1, 1, 1000, false);
+	run_pass(&f);
+	report_worker(&f, "w1", NULL, 0, &end, 1);
+	store_dirty_jobs(&f);
+	wl_ack_stored_ends(f.wl);
+	CU_ASSERT_EQUAL(f.acks, 1);
+	wl_node_unreachable(f.wl, f.now, "w1");
+	wl_node_connected(f.wl, "w1");
+	report_worker(&f, "w1", NULL, 0, &end, 1);
+	wl_ack_stored_ends(f.wl);
+	CU_ASSERT_EQUAL(f.acks, 2);
+	CU_ASSERT_EQUAL(f.acked, 1);
 	fixture_clear(&f);
 }
 
@@ -685,6 +726,8 @@
 		s, "a takeover waits for silent nodes only", test_unconfirmed_after_takeover);
 	CU_add_test(
 		s, "finished runs are acknowledged once stored", test_ends_acked_after_store);
+	CU_add_test(s, "an acknowledgement is repeated on a new connection",
+		test_ack_repeated_on_new_connection);
 	CU_add_test(s, "a task is not started again before its start is answered",
 		test_unanswered_start);
 	CU_add_test(s, "a failed attempt is counted once", test_failures_counted_once);
