--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -28,6 +28,8 @@
 	"a worker's agent is out of reach")
 EVENT(EV_WORKER_GONE, "worker-gone", "node life why tasks",
 	"a worker's tasks are proved not to run")
+EVENT(EV_WORKER_LOST, "worker-lost", "life silent_ms",
+	"an agent's worker is silent and its leases have run out")
 EVENT(EV_WORKER_DRAIN, "worker-drain", "node life remaining_ms tasks", "a worker is leaving")
 EVENT(EV_WORKER_SUSPECT, "worker-suspect", "node strikes",
 	"a worker fails or stalls what it runs")
--- a/packages/bench/bench-workload.c
+++ b/packages/bench/bench-workload.c
@@ -159,6 +159,7 @@
 		.memory_mb = 262144,
 		.accelerators = ACCELERATORS_PER_WORKER,
 		.covers = s->ordinal, /* the report reflects all starts sent so far */
+		.sent_ns = (uint64_t)s->now,
 		.ends = (struct wl_ended *)n->ends->data,
 		.ends_len = n->ends->len};
 
--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -14,7 +14,7 @@
  * A watch without events is ended after this time and replaced, as the watch's connection may
  * be dead; a new watch is cheap.
  */
-#define WATCH_TIMEOUT_MS  1500
+#define WATCH_TIMEOUT_MS  500
 #define STORE_RETRY_DELAY (200 * NSEC_PER_MSEC)
 
 static void watch_inbox(struct wl_coord *c);
@@ -123,7 +123,11 @@
 	case KV_OK:
 		for (size_t i = 0; i < r->items_len && !c->term_lost; i++)
 			read_inbox_item(c, &r->items[i]);
-		if (r->store_revision > c->watch_revision)
+		/*
+		 * An answer without events leaves the revision: where the watch only heard
+		 * nothing, the next one still gets what it missed.
+		 */
+		if (r->items_len > 0 && r->store_revision > c->watch_revision)
 			c->watch_revision = r->store_revision;
 		if (c->term_lost)
 			return;
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -11,6 +11,7 @@
 	struct peer_net *net;
 	peer_id peer;
 	int64_t last_heard;
+	uint64_t last_echo; /* sent_ns of its last report or ping; 0 before the first */
 	struct wl_msg pending_report; /* a report deferred until the node's record is stored */
 	bool has_pending_report;
 };
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -16,7 +16,9 @@
 #define CONFIG_PERIOD NSEC_PER_SEC
 /* Renewal of the store lease that holds the coordinator's key. */
 #define STORE_LEASE_RENEW_PERIOD (700 * NSEC_PER_MSEC)
-#define SWEEP_PERIOD		 (500 * NSEC_PER_MSEC)
+/* A longer time without a confirmation of the term is made up for, see resume_after_gap. */
+#define RENEWAL_GAP_MAX (2 * NSEC_PER_SEC)
+#define SWEEP_PERIOD	(500 * NSEC_PER_MSEC)
 /* An agent reports about once a second; one silent for this long is considered unreachable. */
 #define AGENT_TIMEOUT (3500 * NSEC_PER_MSEC)
 /* No tasks are started if the store last confirmed the term longer ago than this. */
@@ -231,6 +233,7 @@
 {
 	if (msg->report.node == NULL || strcmp(msg->report.node, agent->node) != 0)
 		return;
+	agent->last_echo = msg->report.sent_ns;
 	send_coordinator_heartbeat(c, agent, msg->report.sent_ns);
 	if (agent->has_pending_report)
 		wl_msg_clear(&agent->pending_report);
@@ -267,6 +270,7 @@
 		g_hash_table_remove(c->agents_by_peer, &agent->peer);
 	agent->net = net;
 	agent->peer = peer;
+	agent->last_echo = 0;
 	g_hash_table_replace(c->agents_by_peer, &agent->peer, agent);
 	agent->last_heard = loop_now(c->p->loop);
 	send_coordinator_heartbeat(c, agent, 0);
@@ -291,6 +295,7 @@
 		return;
 	agent->last_heard = loop_now(c->p->loop);
 	if (msg->kind == WL_MSG_PING) {
+		agent->last_echo = msg->ping.sent_ns;
 		send_coordinator_heartbeat(c, agent, msg->ping.sent_ns);
 	} else if (msg->kind == WL_MSG_REPORT && msg->report.term == c->term) {
 		on_report(c, agent, msg);
@@ -324,6 +329,22 @@
 		agent_disconnected(c, agent);
 }
 
+/*
+ * The store has confirmed the term again after a gap in which the agents' authority may have
+ * run out. They get it back before the orders of the next pass reach them: an agent without
+ * authority refuses starts.
+ */
+static void resume_after_gap(struct wl_coord *c)
+{
+	for (guint i = 0; i < c->agents->len; i++) {
+		const struct agent_conn *agent = c->agents->pdata[i];
+
+		if (agent->last_echo != 0)
+			send_coordinator_heartbeat(c, agent, agent->last_echo);
+	}
+	schedule_pass(c, 0);
+}
+
 /*
  * Handles the reply to a renewal of the store lease. The term is confirmed as of when the
  * request was sent, since the lease may have been renewed any time after that.
@@ -331,14 +352,19 @@
 static void on_lease_renewed(const struct kv_result *r, void *arg)
 {
 	struct wl_coord *c = arg;
+	bool late;
 
 	c->renewing_lease = false;
 	if (!coord_call_ended(c))
 		return;
-	if (r->status == KV_OK)
-		c->term_confirmed_at = MAX(c->term_confirmed_at, r->sent);
-	else if (r->status == KV_NOT_FOUND)
+	if (r->status == KV_NOT_FOUND)
 		coord_lose_term(c, "the store lease has expired");
+	if (r->status != KV_OK)
+		return;
+	late = r->sent - c->term_confirmed_at > RENEWAL_GAP_MAX;
+	c->term_confirmed_at = MAX(c->term_confirmed_at, r->sent);
+	if (late)
+		resume_after_gap(c);
 }
 
 /* Renews the store lease of the coordinator's key. */
--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -229,6 +229,7 @@
 	struct pf_reply r;
 
 	order_parse_reply(c, &r);
+	worker_note_lease(w, c, s->last_try_at);
 	histogram_add(&start_seconds, worker_now(w) - s->last_try_at);
 	s->call_pending = false;
 	if (s->dropped) {
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -54,7 +54,12 @@
 	struct pf_heartbeat heartbeat_next; /* received by the server, not yet processed */
 	bool heartbeat_posted;
 	int64_t heartbeat_at;
-	bool left;	/* its last heartbeat said that it is leaving */
+	bool left; /* its last heartbeat said that it is leaving */
+	/* Reported as gone: it is silent, and every lease that it may have has run out. */
+	bool lost;
+	int64_t heard_at;	 /* the last heartbeat or answer */
+	int64_t lease_end_at;	 /* when every lease that the worker may have has run out */
+	unsigned int unanswered; /* renewals in a row that had no answer */
 	char *instance; /* the worker's id and start time; worker_instance in messages */
 	int64_t instance_started_at;
 	/* The worker's clock as of clock_at on the agent's; clock_at is 0 if unknown. */
@@ -72,6 +77,7 @@
 	 * worker's lists of runs.
 	 */
 	bool renewal_pending;
+	bool renewal_granted;		  /* it has a deadline */
 	uint64_t renewal_settled_ordinal; /* worker_settled_ordinal when it was sent */
 	int64_t renewal_sent_at;
 	struct loop_timer *renewal_timer;
@@ -96,6 +102,8 @@
 /* Sends a call; s is the start that it concerns, or NULL. */
 void worker_send_call(struct wl_worker *w, struct http_call *c, struct pending_start *s,
 	void (*done)(struct http_call *call, void *arg));
+/* Notes that the worker may have got a lease by a call that was sent at a time. */
+void worker_note_lease(struct wl_worker *w, const struct http_call *c, int64_t sent_at);
 /* The latest expiry of a lease granted now, in ms on the worker's clock; 0 if none may be. */
 int64_t worker_lease_deadline(const struct wl_worker *w);
 
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -23,6 +23,13 @@
  * lists not requested. It is not reported as having left, and its instance is kept.
  */
 #define HEARTBEAT_TIMEOUT (8 * NSEC_PER_SEC)
+/* After this many renewals in a row without an answer, further ones only request the lists. */
+#define UNANSWERED_RENEWALS_MAX 3
+/* A worker is lost at the earliest after this silence, however short its leases are. */
+#define LOST_SILENCE (4 * NSEC_PER_SEC)
+/* Margins on the end of a lease: messages, and a clock that is up to 2 % slow. */
+#define LEASE_MARGIN	   (400 * NSEC_PER_MSEC)
+#define SLOW_CLOCK_DIVISOR 50
 
 static void renew_and_list(struct wl_worker *w);
 
@@ -63,6 +70,17 @@
 	return worker_clock_ms(w) + w->p->settings.lease_max / NSEC_PER_MSEC;
 }
 
+void worker_note_lease(struct wl_worker *w, const struct http_call *c, int64_t sent_at)
+{
+	/* From the last time that the worker's clock was known to when the lease ends. */
+	int64_t span = sent_at - w->clock_at + w->p->settings.lease_max;
+
+	if (c->error != NULL && c->never_sent)
+		return;
+	w->lease_end_at = MAX(w->lease_end_at,
+		sent_at + w->p->settings.lease_max + span / SLOW_CLOCK_DIVISOR + LEASE_MARGIN);
+}
+
 /* Switches to another instance of the worker; drops the starts pending at the previous one. */
 static void begin_instance(struct wl_worker *w, const char *id, int64_t instance_started_at)
 {
@@ -70,6 +88,8 @@
 	xasprintf(&w->instance, "%s@%" PRId64, id, instance_started_at);
 	w->instance_started_at = instance_started_at;
 	w->clock_at = 0;
+	w->lost = false;
+	w->unanswered = 0;
 	w->ends_stored = 0;
 	w->ends_listed = 0;
 	while (w->pending_starts->len > 0)
@@ -85,6 +105,8 @@
 	if (r->clock_ms > 0) {
 		w->clock_ms = r->clock_ms;
 		w->clock_at = worker_now(w);
+		w->heard_at = w->clock_at;
+		w->lost = false;
 	}
 }
 
@@ -100,7 +122,7 @@
 	out.term = w->term;
 	out.node = w->p->settings.node;
 	out.worker_instance = w->instance;
-	out.left = w->left;
+	out.left = w->left || w->lost;
 	out.covers = w->renewal_settled_ordinal;
 	out.sent_ns = (uint64_t)w->renewal_sent_at;
 	out.runs = r->runs;
@@ -110,11 +132,33 @@
 	w->events.report(&out, w->events.arg);
 }
 
+/*
+ * Reports a worker as gone that neither answers nor sends heartbeats, once nothing can be
+ * running on it any more. An answer or a heartbeat ends this.
+ */
+static void check_lost(struct wl_worker *w)
+{
+	const struct pf_reply none = {0};
+	int64_t now = worker_now(w);
+
+	if (w->lost || w->left || w->term == 0 || w->instance == NULL || w->calls_pending > 0 ||
+		now <= w->lease_end_at ||
+		now - MAX(w->heard_at, w->heartbeat_at) < LOST_SILENCE)
+		return;
+	w->lost = true;
+	event_log(EV_WORKER_LOST, "life=%s silent_ms=%" PRId64, w->instance,
+		(now - MAX(w->heard_at, w->heartbeat_at)) / NSEC_PER_MSEC);
+	w->renewal_sent_at = now;
+	w->renewal_settled_ordinal = w->last_start_ordinal;
+	report_runs(w, &none);
+}
+
 static void on_renewal_timer(void *arg)
 {
 	struct wl_worker *w = arg;
 
 	w->renewal_timer = NULL;
+	check_lost(w);
 	renew_and_list(w);
 }
 
@@ -133,6 +177,11 @@
 	w->calls_pending--;
 	w->renewal_pending = false;
 	pf_reply_parse(c, &r);
+	if (r.kind == PF_REPLY_OK && !r.lists_complete)
+		r.kind = PF_REPLY_NO_ANSWER;
+	if (w->renewal_granted)
+		worker_note_lease(w, c, w->renewal_sent_at);
+	w->unanswered = r.kind == PF_REPLY_NO_ANSWER ? w->unanswered + 1 : 0;
 	if (w->freed) {
 		wl_worker_free(w);
 	} else {
@@ -195,12 +244,15 @@
 		schedule_renewal(w, RENEWAL_RETRY_DELAY);
 		return;
 	}
+	if (w->unanswered >= UNANSWERED_RENEWALS_MAX)
+		renewal.deadline_ms = 0;
 	/* No lease can be renewed until an answer gives the worker's clock: get it at once. */
 	if (w->clock_at == 0)
 		renewal.wait_ms = 0;
 	else if (worker_has_unknown_starts(w))
 		renewal.wait_ms = RENEWAL_WAIT_MS / 10;
 	w->renewal_pending = true;
+	w->renewal_granted = renewal.deadline_ms != 0;
 	w->renewal_settled_ordinal = worker_settled_ordinal(w);
 	w->renewal_sent_at = worker_now(w);
 	worker_send_call(w,
--- a/packages/workload/wl-health.c
+++ b/packages/workload/wl-health.c
@@ -2,8 +2,12 @@
 
 #include <inttypes.h>
 
-/* A run without progress for this long is stalled. */
-#define STALL_TIMEOUT (3 * NSEC_PER_SEC)
+/*
+ * A run without progress for this long, and for STALL_ESTIMATE_SHARE of its estimated run time,
+ * is stalled: a worker at a fifth of its speed still moves the percentage in that time.
+ */
+#define STALL_TIMEOUT	     (2 * NSEC_PER_SEC)
+#define STALL_ESTIMATE_SHARE 0.15
 /* A stalled run raises its worker's failure score as much as this many failed runs. */
 #define STALL_FAILURES 3
 /*
@@ -37,7 +41,7 @@
 }
 
 /* Records a run's reported progress. */
-void task_record_progress(struct wl_task *t, int64_t now, uint32_t percent)
+void task_record_progress(struct wl_task *t, int64_t now, uint64_t sent_ns, uint32_t percent)
 {
 	if (t->base_at == 0) {
 		bool resumed = *t->checkpoint != '\0';
@@ -45,8 +49,9 @@
 		t->base_percent = resumed ? percent : 0;
 		t->base_at = resumed || t->running_at == 0 ? now : t->running_at;
 	}
-	if (percent != t->percent || t->progress_at == 0)
-		t->progress_at = now;
+	if (percent != t->percent || t->progress_ns == 0 || sent_ns < t->progress_ns)
+		t->progress_ns = sent_ns;
+	t->listed_ns = sent_ns;
 	t->percent = percent;
 	t->percent_at = now;
 }
@@ -73,17 +78,24 @@
 }
 
 /*
- * Whether a run has made no progress for STALL_TIMEOUT. The time counts from when this run was
- * confirmed, also for a gang member that still waits for the other members.
+ * Whether the worker has listed a run without progress for this long, by its agent's clock. The
+ * time counts from the first report that listed it, also for a gang member that still waits for
+ * the other members.
  */
-static bool is_stalled(const struct wl_task *t, int64_t now)
+bool task_is_idle(const struct wl_task *t, uint64_t threshold_ns)
 {
-	int64_t since = MAX(t->progress_at, t->running_at);
-
 	if (t->phase != TASK_RUNNING || t->unit->step->long_running || t->percent >= 100 ||
 		t->pace_percent < 100 || t->unit->step->filler)
 		return false;
-	return since > 0 && now - since > STALL_TIMEOUT;
+	return t->listed_ns - t->progress_ns > threshold_ns;
+}
+
+static bool is_stalled(const struct wl_task *t)
+{
+	double share =
+		STALL_ESTIMATE_SHARE * (double)step_estimate(t->unit->job, t->unit->step);
+
+	return task_is_idle(t, STALL_TIMEOUT) && task_is_idle(t, (uint64_t)share);
 }
 
 /* Stops stalled runs, so that they start again on another worker if one fits. */
@@ -92,7 +104,7 @@
 	struct wl_task *t;
 
 	TAILQ_FOREACH(t, &n->tasks, on_node) {
-		if (!is_stalled(t, now))
+		if (!is_stalled(t))
 			continue;
 		if (t->unit->step->gang) {
 			/* It is not known which member stalls the gang: blame no worker. */
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -13,8 +13,17 @@
 #define REFUSAL_BACKOFF (500 * NSEC_PER_MSEC)
 /* The same after the worker answered that it is unhealthy. */
 #define UNHEALTHY_BACKOFF (1500 * NSEC_PER_MSEC)
+/* Both double with each refusal in a row, up to this. */
+#define BACKOFF_MAX (8 * NSEC_PER_SEC)
+/*
+ * A worker whose lists have not been reported for this long gets no new tasks: its agent may be
+ * up while it is not. The runs that it has are not touched.
+ */
+#define REPORT_AGE_MAX (2500 * NSEC_PER_MSEC)
 /* Failure score from which a worker is logged as suspect. */
 #define SUSPECT_SCORE 2.0
+/* A worker whose runs all make no progress for this long gets tasks only if no other fits. */
+#define SUSPENDED_AFTER (900 * NSEC_PER_MSEC)
 /* The stop order for an orphaned run is repeated after this. */
 #define ORPHAN_STOP_INTERVAL NSEC_PER_SEC
 
@@ -155,7 +164,8 @@
 bool node_usable(const struct wl_node *n, int64_t now)
 {
 	return n->linked && !n->draining && !n->has_left && !n->awaiting_report &&
-	       n->instance_id != NULL && n->blocked_until <= now;
+	       n->instance_id != NULL && n->blocked_until <= now &&
+	       now - n->last_report_at <= REPORT_AGE_MAX;
 }
 
 /* Replaces a string by a copy of another. */
@@ -179,6 +189,7 @@
 	n->last_end_acked = 0;
 	n->failure_score = 0;
 	n->blocked_until = 0;
+	n->refusals = 0;
 	g_array_set_size(n->pending_ends, 0);
 }
 
@@ -315,6 +326,8 @@
 static void reconcile_runs(struct wl_node *n, int64_t now, const struct wl_report *r)
 {
 	g_autoptr(GPtrArray) previous = n->orphans;
+	unsigned int idle = 0;
+	unsigned int moving = 0;
 
 	n->orphans = g_ptr_array_new_with_free_func(orphan_free);
 	for (uint32_t i = 0; i < r->runs_len; i++) {
@@ -335,13 +348,16 @@
 		}
 		task_confirm_running(t, now);
 		t->seen_serial = n->report_serial;
-		task_record_progress(t, now, run->percent);
+		task_record_progress(t, now, r->sent_ns, run->percent);
+		idle += task_is_idle(t, SUSPENDED_AFTER);
+		moving += t->listed_ns == t->progress_ns && t->percent > 0;
 		t->measurement = run->figure;
 		record_checkpoint(t, run->checkpoint);
 		if (t->phase == TASK_STOPPING ||
 			(t->phase == TASK_DONE && !t->unit->step->gang))
 			task_stop(t, now, "the worker still reports the run", NULL);
 	}
+	n->suspended = idle > 0 && moving == 0;
 }
 
 /*
@@ -396,6 +412,7 @@
 	update_node_state(n, now, r);
 	n->linked = true;
 	n->last_contact_at = now;
+	n->last_report_at = now;
 	n->report_serial++;
 	process_ended_runs(n, now, wall, r);
 	reconcile_runs(n, now, r);
@@ -462,6 +479,16 @@
 	return out;
 }
 
+/* Places nothing on a worker for a while after it refused a start. */
+static void node_block(struct wl_node *n, int64_t now, int64_t backoff)
+{
+	/* The refusals of starts that were sent together count once. */
+	if (n->blocked_until > now)
+		return;
+	n->blocked_until = now + MIN(backoff << MIN(n->refusals, 5u), BACKOFF_MAX);
+	n->refusals++;
+}
+
 /* Handles a worker's answer to a start order; outdated answers are ignored. */
 void wl_node_answer(struct wl *w, int64_t now, const struct wl_answer_note *a)
 {
@@ -477,6 +504,7 @@
 	event_log(EV_TASK_RUN, "task=%s attempt=%u node=%s answer=%s", a->task, a->attempt,
 		n->name, wl_answer_name(a->answer));
 	if (a->answer == WL_ANSWER_RUNNING) {
+		n->refusals = 0;
 		task_confirm_running(t, now);
 		return;
 	}
@@ -485,11 +513,11 @@
 	switch (a->answer) {
 	case WL_ANSWER_UNHEALTHY:
 		node_record_failure(n, now);
-		n->blocked_until = now + UNHEALTHY_BACKOFF;
+		node_block(n, now, UNHEALTHY_BACKOFF);
 		break;
 	case WL_ANSWER_REFUSED_NO_CAPACITY:
 	case WL_ANSWER_REFUSED_OTHER:
-		n->blocked_until = now + REFUSAL_BACKOFF;
+		node_block(n, now, REFUSAL_BACKOFF);
 		break;
 	default:
 		break;
--- a/packages/workload/wl-preempt.c
+++ b/packages/workload/wl-preempt.c
@@ -249,7 +249,8 @@
 		if (!node_eligible(n, u) || !below_worker_limit(u, n, plan) ||
 			!preempt_on_node(w, n, &need, c, now))
 			continue;
-		loss = c->loss + node_failure_score(n, now) * FAILURE_COST;
+		loss = c->loss +
+		       (node_failure_score(n, now) + (n->suspended ? 1.0 : 0.0)) * FAILURE_COST;
 		victims_truncate(c, from, before);
 		if (best == NULL || loss < lowest) {
 			best = n;
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -76,8 +76,14 @@
 	uint64_t ordinal;     /* wl_start.ordinal of the last start */
 	uint64_t seen_serial; /* number of the last report that listed the run */
 	uint32_t percent;
-	int64_t percent_at;  /* when the worker last listed the run */
-	int64_t progress_at; /* when percent last changed */
+	int64_t percent_at; /* when the worker last listed the run */
+	/*
+	 * wl_report.sent_ns of the last report that listed the run, and of the last one in
+	 * which percent had changed. Times of the agent's clock: reports that are late or
+	 * missing make no run look stalled.
+	 */
+	uint64_t listed_ns;
+	uint64_t progress_ns;
 	/*
 	 * Progress and time from which the progress rate is measured: 0 percent at running_at,
 	 * or for a run resumed from a checkpoint, which does not start at 0 percent, those of
@@ -208,7 +214,14 @@
 	 * that was later.
 	 */
 	int64_t last_contact_at;
+	int64_t last_report_at;
 	int64_t blocked_until;
+	unsigned int refusals; /* starts refused since the last one that was confirmed */
+	/*
+	 * The last report listed runs that should have made progress, and none had. May be the
+	 * fault of another worker, if they are all members of gangs.
+	 */
+	bool suspended;
 	double failure_score; /* failure score as of failure_score_at; decays over time */
 	int64_t failure_score_at;
 	uint64_t report_serial; /* number of reports received */
@@ -364,7 +377,8 @@
 /* wl-health.c */
 bool task_has_progress_rate(const struct wl_task *t);
 int64_t task_remaining(const struct wl_task *t, int64_t now);
-void task_record_progress(struct wl_task *t, int64_t now, uint32_t percent);
+void task_record_progress(struct wl_task *t, int64_t now, uint64_t sent_ns, uint32_t percent);
+bool task_is_idle(const struct wl_task *t, uint64_t threshold_ns);
 void health_check(struct wl *w, int64_t now);
 
 /* wl-preempt.c */
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -51,7 +51,8 @@
 	t->unit->job->wl->changed = true;
 	t->percent = 0;
 	t->percent_at = 0;
-	t->progress_at = 0;
+	t->listed_ns = 0;
+	t->progress_ns = 0;
 	t->base_percent = 0;
 	t->base_at = 0;
 	t->measurement = 0;
--- a/tests/property/prop-workload.cc
+++ b/tests/property/prop-workload.cc
@@ -451,6 +451,7 @@
 	r.accelerators = WORKER_ACCELERATORS;
 	/* The report reflects every start up to this ordinal. */
 	r.covers = k.last_ordinal;
+	r.sent_ns = (uint64_t)sim->now;
 	r.runs = runs.data();
 	r.runs_len = (uint32_t)runs.size();
 	r.ends = ends.data();
--- /dev/null
+++ b/tests/unit/test-workers.c
@@ -0,0 +1,196 @@
+#include "unit.h"
+
+#include "platform.h"
+#include "workload-fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Where work goes when workers or their agents misbehave: silent, hung, gone or slow to report.
+ * Each test names the pattern that it answers.
+ */
+
+/* Lists of one worker, whose runs are at a percentage. */
+static void report_percent(struct fixture *f, const char *node, const char *task,
+	uint32_t attempt, uint32_t percent)
+{
+	struct wl_run run = {.task = (char *)task, .attempt = attempt, .percent = percent};
+
+	report_worker(f, node, &run, 1, NULL, 0);
+}
+
+/* Answers the last start order of a worker. */
+static void answer_last_start(struct fixture *f, enum wl_answer answer)
+{
+	char instance[32];
+	const struct wl_answer_note note = {.worker_instance = instance,
+		.ordinal = f->ordinal,
+		.task = f->last_start,
+		.attempt = f->last_attempt,
+		.answer = answer};
+
+	snprintf(instance, sizeof(instance), "%s@1", f->last_node);
+	wl_node_answer(f->wl, f->now, &note);
+}
+
+/*
+ * Silent agent: its reports stop for three seconds, then come again. Its run goes on and must
+ * not be taken for stalled.
+ */
+static void test_silent_agent_keeps_its_run(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	run_pass(&f);
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 5);
+	f.now += SEC;
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 15);
+	f.now += 3300 * MS;
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.stops, 0);
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 48);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.stops, 0);
+	fixture_clear(&f);
+}
+
+/* Hung worker: it reports on time, and its run makes no progress. The run is stopped. */
+static void test_hung_run_is_stopped(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	run_pass(&f);
+	for (unsigned int i = 0; i < 4; i++) {
+		report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 30);
+		f.now += SEC;
+		run_pass(&f);
+	}
+	CU_ASSERT_EQUAL(f.stops, 1);
+	fixture_clear(&f);
+}
+
+/*
+ * Hung worker: while its only run makes no progress, a new job goes to another worker, although
+ * the hung one is the tighter fit.
+ */
+static void test_hung_worker_is_avoided(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	run_pass(&f);
+	report_worker(&f, "w2", NULL, 0, NULL, 0);
+	for (unsigned int i = 0; i < 2; i++) {
+		f.now += SEC;
+		report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 30);
+		report_worker(&f, "w2", NULL, 0, NULL, 0);
+	}
+	submit_job(&f, 2, "urgent", 1, 1, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000002.0.0.0");
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w2");
+	fixture_clear(&f);
+}
+
+/*
+ * Worker gone, agent alive: no lists of the worker come any more. It gets no tasks, and its run
+ * is neither stopped nor started elsewhere.
+ */
+static void test_worker_without_lists_gets_no_tasks(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	run_pass(&f);
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 5);
+	f.now += 4 * SEC;
+	submit_job(&f, 2, "urgent", 1, 1, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 1);
+	CU_ASSERT_EQUAL(f.stops, 0);
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 45);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000002.0.0.0");
+	fixture_clear(&f);
+}
+
+/*
+ * Worker that refuses each start at once: it would attract the same gang again and again. The
+ * time for which it gets nothing doubles, until it confirms a start.
+ */
+static void test_refusals_back_off(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	for (unsigned int i = 0; i < 60; i++) {
+		unsigned int before = f.starts;
+
+		report_worker(&f, "w1", NULL, 0, NULL, 0);
+		run_pass(&f);
+		if (f.starts > before)
+			answer_last_start(&f, WL_ANSWER_REFUSED_OTHER);
+		f.now += 100 * MS;
+	}
+	/* At 0, 0.5, 1.5 and 3.5 s. */
+	CU_ASSERT_EQUAL(f.starts, 4);
+	fixture_clear(&f);
+}
+
+/*
+ * Malformed lists: an answer that says OK without complete lists says nothing about what runs,
+ * and must not pass for a worker without runs.
+ */
+static void test_incomplete_lists(void)
+{
+	static const struct {
+		const char *body;
+		bool complete;
+	} cases[] = {
+		{"{\"clock_ms\":1,\"running\":[],\"finished\":[]}", true},
+		{"{\"clock_ms\":1,\"running\":[[\"t\",1,\"\",5]],\"finished\":[]}", true},
+		{"{\"clock_ms\":1,\"running\":[[7,1,\"\",5]],\"finished\":[]}", false},
+		{"{\"clock_ms\":1,\"running\":[],\"finished\":[[1]]}", false},
+		{"{\"clock_ms\":1,\"finished\":[]}", false},
+		{"{\"clock_ms\":1,\"running\":{},\"finished\":[]}", false},
+		{"{\"clock_ms\":1", false},
+		{"", false},
+	};
+
+	for (size_t i = 0; i < ARRAY_LEN(cases); i++) {
+		struct http_call *c = http_call_new("POST", "http://127.0.0.1/");
+		struct pf_reply r;
+
+		c->status = 200;
+		c->answer = bytes_copy(cases[i].body, strlen(cases[i].body));
+		pf_reply_parse(c, &r);
+		CU_ASSERT_EQUAL(r.lists_complete, cases[i].complete);
+		pf_reply_clear(&r);
+		http_call_free(c);
+	}
+}
+
+void unit_workers(CU_pSuite s)
+{
+	CU_add_test(s, "silent agent: its run is not stalled", test_silent_agent_keeps_its_run);
+	CU_add_test(s, "hung worker: its run is stopped", test_hung_run_is_stopped);
+	CU_add_test(s, "hung worker: new work goes elsewhere", test_hung_worker_is_avoided);
+	CU_add_test(s, "worker without lists: it gets no tasks and keeps its runs",
+		test_worker_without_lists_gets_no_tasks);
+	CU_add_test(s, "worker that refuses all starts: it is asked ever less",
+		test_refusals_back_off);
+	CU_add_test(s, "malformed lists are no lists", test_incomplete_lists);
+}
--- /dev/null
+++ b/tests/unit/workload-fixture.h
@@ -0,0 +1,42 @@
+#ifndef DP_WORKLOAD_FIXTURE_H
+#define DP_WORKLOAD_FIXTURE_H
+
+#include "unit.h"
+#include "workload.h"
+
+/* What the tests of the scheduler core share: a core with a store, and no network. */
+
+#define MS  NSEC_PER_MSEC
+#define SEC NSEC_PER_SEC
+
+/* A scheduler core, a simulated store, and the orders that the core has sent. */
+struct fixture {
+	struct wl *wl;
+	struct wl_config *config;
+	int64_t now; /* monotonic time; also passed as the wall clock */
+	unsigned int starts;
+	unsigned int stops;
+	uint64_t ordinal;
+	char last_start[80];
+	char last_node[16];
+	char last_stop[80];
+	uint32_t last_attempt;
+	uint64_t acked; /* highest finished run that a worker was told to forget */
+	unsigned int acks;
+	GPtrArray *dirty; /* ids of jobs whose progress must be stored */
+	bool store_down;
+};
+
+void fixture_init(struct fixture *f);
+void fixture_clear(struct fixture *f);
+/* Stores the progress of all dirty jobs, unless the store is down. */
+void store_dirty_jobs(struct fixture *f);
+/* Reports a worker with 8 accelerators; runs and ends may be NULL. */
+void report_worker(struct fixture *f, const char *node, struct wl_run *runs, uint32_t runs_len,
+	struct wl_ended *ends, uint32_t ends_len);
+/* Submits a job of one step; its id is the number in hexadecimal digits. */
+void submit_job(struct fixture *f, unsigned int number, const char *queue, uint32_t count,
+	uint32_t accelerators, uint32_t estimate_ms, bool gang);
+void run_pass(struct fixture *f);
+
+#endif
