scheduler: headroom for the rate of urgent jobs; gangs on workers that are not slow

The headroom was one and a half urgent jobs, whatever the fleet; on 240 workers several arrive within the second that a preemption takes.

Change: the headroom also covers one second of urgent demand at its present rate; wl-speed.c compares the runs of a worker with those of the same step elsewhere, gangs prefer workers that are not slow and single tasks leave these to them.

--- a/packages/workload/wl-headroom.c
+++ b/packages/workload/wl-headroom.c
@@ -1,5 +1,7 @@
 #include "wl-private.h"
 
+#include <math.h>
+
 /*
  * Headroom: workers that are held back for urgent jobs. These arrive without notice, and
  * preempting other runs for them takes longer than they can wait. The workers take no new tasks
@@ -10,19 +12,33 @@
 
 /* Weight of the newest job in the moving average of job sizes. */
 #define MEAN_SIZE_WEIGHT 0.1
-/* Size of the headroom, relative to the average urgent job. */
+/* Least size of the headroom, relative to the average urgent job. */
 #define HEADROOM_FACTOR 1.5
+/*
+ * The headroom also covers the urgent jobs that arrive within this time, at the rate of the
+ * last RATE_PERIOD: it takes about that long to free workers by preemption.
+ */
+#define HEADROOM_TIME NSEC_PER_SEC
+#define RATE_PERIOD   (4 * NSEC_PER_SEC)
 /* Largest share of the workers that is held back. */
 #define HEADROOM_SHARE_MAX 0.4
 
-/* Updates the average size of urgent jobs, in accelerators of the first step. */
-void headroom_record_job(struct wl *w, const struct wl_job *j)
+/* Accelerators that urgent jobs request in a second, averaged over RATE_PERIOD. */
+static double urgent_rate(const struct wl *w, int64_t now)
+{
+	return w->urgent_rate * exp(-(double)(now - w->urgent_rate_at) / RATE_PERIOD);
+}
+
+/* Updates the average size and the rate of urgent jobs, by accelerators of the first step. */
+void headroom_record_job(struct wl *w, const struct wl_job *j, int64_t now)
 {
 	double size = 0;
 
 	if (j->priority != URGENT_PRIORITY || j->spec.steps_len == 0)
 		return;
 	size = (double)j->spec.steps[0].count * j->spec.steps[0].accelerators;
+	w->urgent_rate = urgent_rate(w, now) + size * NSEC_PER_SEC / RATE_PERIOD;
+	w->urgent_rate_at = now;
 	w->mean_urgent_size =
 		w->mean_urgent_size == 0
 			? size
@@ -50,12 +66,13 @@
 
 /*
  * Selects workers as headroom, those with the most free accelerators first, until these add up
- * to HEADROOM_FACTOR average urgent jobs or the workers to HEADROOM_SHARE_MAX. A worker without
+ * to what urgent jobs need soon or the workers to HEADROOM_SHARE_MAX. A worker without
  * free accelerators counts as one, so the selected workers may all be busy.
  */
-void headroom_select(struct wl *w)
+void headroom_select(struct wl *w, int64_t now)
 {
-	double needed = w->mean_urgent_size * HEADROOM_FACTOR;
+	double needed = MAX(w->mean_urgent_size * HEADROOM_FACTOR,
+		urgent_rate(w, now) * HEADROOM_TIME / NSEC_PER_SEC);
 	unsigned int workers_max = (unsigned int)(HEADROOM_SHARE_MAX * w->nodes->len);
 
 	for (guint i = 0; i < w->nodes->len; i++)
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -221,7 +221,7 @@
 	job_update_settings(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
-	headroom_record_job(w, j);
+	headroom_record_job(w, j, now);
 	if (p != NULL && wl_state_ended(p->state)) {
 		j->state = p->state;
 		j->ended_ms = p->ended_ms;
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -190,6 +190,7 @@
 	n->failure_score = 0;
 	n->blocked_until = 0;
 	n->refusals = 0;
+	speed_reset(n);
 	g_array_set_size(n->pending_ends, 0);
 }
 
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -373,7 +373,7 @@
 		struct candidate *c = &g_array_index(order, struct candidate, i);
 
 		if (!headroom_selected && c->unit->job->priority > URGENT_PRIORITY) {
-			headroom_select(w);
+			headroom_select(w, now);
 			headroom_selected = true;
 		}
 		w->may_use_headroom = c->unit->job->priority == URGENT_PRIORITY ||
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -2,6 +2,8 @@
 
 /* A unit waits for its rack up to this share of the time that it would lose elsewhere. */
 #define SPREAD_WAIT_SHARE 0.5
+/* Added to the score of a rack for slow workers in the plan; above all other scores. */
+#define SLOW_RACK_COST INT32_MAX
 /* Workers with a higher failure score are used only if no other fits. */
 #define FAILURE_SCORE_AVOID 0.7
 
@@ -70,6 +72,7 @@
 struct place_cost {
 	double unreliability;
 	int64_t off_rack;
+	int64_t unsuited; /* slow for a gang member, not slow for a task by itself */
 	int64_t accelerators_left;
 	int64_t cores_left;
 };
@@ -83,17 +86,20 @@
 
 	return (struct place_cost){.unreliability = score > FAILURE_SCORE_AVOID ? score : 0,
 		.off_rack = data_rack != NULL && data_rack != n->rack,
+		.unsuited = node_is_slow(n) == t->unit->step->gang,
 		.accelerators_left = r->accelerators - need->accelerators,
 		.cores_left = r->cores_m - need->cores_m};
 }
 
-/* Prefers reliable workers, then the rack of the data, then the tightest fit. */
+/* Prefers reliable workers, then the rack of the data, then speed, then the tightest fit. */
 static bool cost_is_lower(const struct place_cost *a, const struct place_cost *b)
 {
 	if (a->unreliability != b->unreliability)
 		return a->unreliability < b->unreliability;
 	if (a->off_rack != b->off_rack)
 		return a->off_rack < b->off_rack;
+	if (a->unsuited != b->unsuited)
+		return a->unsuited < b->unsuited;
 	if (a->accelerators_left != b->accelerators_left)
 		return a->accelerators_left < b->accelerators_left;
 	return a->cores_left < b->cores_left;
@@ -288,19 +294,22 @@
 
 /*
  * Weighted sum of what remains free on the workers of a plan: 1000 per accelerator and 1 per
- * core. A worker counts once for each of its tasks in the plan.
+ * core. A worker counts once for each of its tasks in the plan. A slow worker outweighs all of
+ * that.
  */
 static int64_t free_capacity_score(const GArray *plan, guint from, enum placement_view view)
 {
 	int64_t sum = 0;
+	bool has_slow = false;
 
 	for (guint i = from; i < plan->len; i++) {
 		struct wl_node *n = g_array_index(plan, struct placement, i).node;
 
 		sum += available_on(n, view)->accelerators * 1000 +
 		       available_on(n, view)->cores_m / 1000;
+		has_slow |= node_is_slow(n);
 	}
-	return sum;
+	return sum + (has_slow ? SLOW_RACK_COST : 0);
 }
 
 /* Plans a rack-local unit completely within one rack, the one with the tightest fit. */
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -125,6 +125,9 @@
 	 */
 	int64_t retry_at;
 	bool is_done;
+	/* Completed runs that were timed, and the sum of the logarithms of their times. */
+	uint32_t timed_runs;
+	double log_time_sum;
 	/* Interned names of the step's label and data rack; NULL for none. */
 	char *label;
 	char *data_rack;
@@ -222,6 +225,9 @@
 	 * fault of another worker, if they are all members of gangs.
 	 */
 	bool suspended;
+	/* How much longer its runs take than others, see wl-speed.c. */
+	double slowness;
+	unsigned int timed_runs;
 	double failure_score; /* failure score as of failure_score_at; decays over time */
 	int64_t failure_score_at;
 	uint64_t report_serial; /* number of reports received */
@@ -282,6 +288,9 @@
 	unsigned int recorded_runs;
 	/* Moving average of the accelerators that urgent jobs request. */
 	double mean_urgent_size;
+	/* Accelerators a second that urgent jobs requested, as of urgent_rate_at. */
+	double urgent_rate;
+	int64_t urgent_rate_at;
 	/* Something changed since the last pass that may allow a task to start. */
 	bool changed;
 	/* Whether the unit that is being placed may use headroom workers. */
@@ -357,8 +366,8 @@
 bool unit_may_spread(struct wl *w, const struct wl_unit *u, int64_t now);
 
 /* wl-headroom.c */
-void headroom_record_job(struct wl *w, const struct wl_job *j);
-void headroom_select(struct wl *w);
+void headroom_record_job(struct wl *w, const struct wl_job *j, int64_t now);
+void headroom_select(struct wl *w, int64_t now);
 
 /* wl-reserve.c */
 /* How the end of a run is predicted. */
@@ -370,6 +379,11 @@
 bool reserve_resources(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere,
 	enum reservation_basis basis, int64_t until);
 
+/* wl-speed.c */
+void speed_record(struct wl_node *n, struct wl_unit *u, int64_t duration);
+void speed_reset(struct wl_node *n);
+bool node_is_slow(const struct wl_node *n);
+
 /* wl-estimate.c */
 void run_stats_record(struct wl_task *t, int64_t duration);
 int64_t step_estimate(struct wl_job *j, const struct wl_step *s);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -344,8 +344,11 @@
 	t->unit->attempt = MAX(t->unit->attempt, e->attempt);
 	if (e->how == WL_END_DONE && !t->unit->step->long_running) {
 		node_record_success(n);
-		if (current && t->running_at > 0 && *t->checkpoint == '\0')
+		if (current && t->running_at > 0 && *t->checkpoint == '\0') {
 			run_stats_record(t, now - t->running_at);
+			if (!t->unit->step->gang)
+				speed_record(n, t->unit, now - t->running_at);
+		}
 		if (current)
 			task_detach(t, now);
 		attempt_succeeded(t, now, wall);
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -150,6 +150,94 @@
 	fixture_clear(&f);
 }
 
+/* Reports a worker that has completed the tasks FIRST to FIRST + 7 of job 1. */
+static void report_done(struct fixture *f, const char *node, unsigned int first)
+{
+	struct wl_ended ends[8];
+	char names[8][32];
+
+	for (unsigned int i = 0; i < 8; i++) {
+		snprintf(names[i], sizeof(names[i]), "0000000000000001.0.0.%u", first + i);
+		ends[i] = (struct wl_ended){.number = i + 1, .task = names[i], .attempt = 1};
+	}
+	report_worker(f, node, NULL, 0, ends, 8);
+}
+
+/* Reports a worker that runs the tasks FIRST to FIRST + 7 of job 1. */
+static void report_running(struct fixture *f, const char *node, unsigned int first)
+{
+	struct wl_run runs[8];
+	char names[8][32];
+
+	for (unsigned int i = 0; i < 8; i++) {
+		snprintf(names[i], sizeof(names[i]), "0000000000000001.0.0.%u", first + i);
+		runs[i] = (struct wl_run){.task = names[i], .attempt = 1, .percent = 1};
+	}
+	report_worker(f, node, runs, 8, NULL, 0);
+}
+
+/*
+ * Slow workers among fast ones: a gang advances as slowly as its slowest member, so it goes to
+ * a fast worker. A task by itself leaves that to gangs.
+ */
+static void test_gang_avoids_slow_worker(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	for (unsigned int i = 0; i < 3; i++) {
+		char name[8];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		report_worker(&f, name, NULL, 0, NULL, 0);
+	}
+	submit_job(&f, 1, "batch", 24, 1, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 24);
+	report_running(&f, "w0", 0);
+	report_running(&f, "w1", 8);
+	report_running(&f, "w2", 16);
+	f.now += SEC;
+	report_done(&f, "w1", 8);
+	report_done(&f, "w2", 16);
+	f.now += 300 * MS;
+	report_done(&f, "w0", 0);
+	submit_job(&f, 2, "urgent", 1, 8, 1000, true);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000002.0.0.0");
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w1");
+	submit_job(&f, 3, "urgent", 1, 1, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000003.0.0.0");
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w0");
+	fixture_clear(&f);
+}
+
+/*
+ * Burst of urgent jobs on a large fleet: more of them arrive in the time that a preemption
+ * takes than one and a half. Of ten workers left, batch tasks leave three, not two.
+ */
+static void test_headroom_follows_rate(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	for (unsigned int i = 0; i < 20; i++) {
+		char name[8];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		report_worker(&f, name, NULL, 0, NULL, 0);
+	}
+	for (unsigned int i = 0; i < 10; i++)
+		submit_job(&f, 1 + i, "urgent", 1, 8, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 10);
+	submit_job(&f, 11, "batch", 80, 1, 5000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 10 + 7 * 8);
+	fixture_clear(&f);
+}
+
 /*
  * Malformed lists: an answer that says OK without complete lists says nothing about what runs,
  * and must not pass for a worker without runs.
@@ -192,5 +280,7 @@
 		test_worker_without_lists_gets_no_tasks);
 	CU_add_test(s, "worker that refuses all starts: it is asked ever less",
 		test_refusals_back_off);
+	CU_add_test(s, "slow workers: gangs go elsewhere", test_gang_avoids_slow_worker);
+	CU_add_test(s, "burst of urgent jobs: the headroom grows", test_headroom_follows_rate);
 	CU_add_test(s, "malformed lists are no lists", test_incomplete_lists);
 }
