entries tell the coordinator what they stored; reservations leave a half idle fleet

Changes: an entry sends the key that it has stored to the coordinator's process over the connection that the detour keeps open; a key that the watch has not told of 40 ms later is read. The note carries nothing that counts, the store does. A task that has waited for 1.5 s may use reserved workers while under half of each resource of its service is in use (wl-usage.c).

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -430,6 +430,7 @@
 	case WL_MSG_PING:
 	case WL_MSG_STORE_CALL:
 	case WL_MSG_STORE_REPLY:
+	case WL_MSG_INBOX_NOTE:
 	case WL_MSG_END:
 		break;
 	}
@@ -487,6 +488,10 @@
 	}
 	if (m.kind == WL_MSG_STORE_CALL)
 		relay_store_call(a, peer, &m.store_call);
+	else if (m.kind == WL_MSG_INBOX_NOTE && a->coord != NULL)
+		wl_coord_note_stored(a->coord, m.inbox_note.key);
+	else if (m.kind == WL_MSG_INBOX_NOTE)
+		; /* the entry will follow the coordinator by its address in the store */
 	else if (peer == a->peer && !is_for_coordinator(m.kind))
 		handle_coordinator_message(a, &m);
 	else if (a->coord != NULL)
--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -16,6 +16,12 @@
  */
 #define WATCH_TIMEOUT_MS  500
 #define STORE_RETRY_DELAY (200 * NSEC_PER_MSEC)
+/* Time for the watch to tell of a key before it is read because of an entry's note. */
+#define NOTE_DELAY     (40 * NSEC_PER_MSEC)
+#define NOTED_KEYS_MAX 1000
+
+COUNTER(noted_reads_total, "damaskpath_inbox_noted_reads_total",
+	"Keys read because an entry told of them and the watch did not.");
 
 static void watch_inbox(struct wl_coord *c);
 static void list_inbox(struct wl_coord *c, const char *after);
@@ -159,6 +165,56 @@
 	kv_watch(c->p->kv, KEY_INBOX, c->watch_revision, WATCH_TIMEOUT_MS, on_watch_result, c);
 }
 
+/* Takes what the store holds under a key that an entry has told of. */
+static void on_noted_key_read(const struct kv_result *r, void *arg)
+{
+	struct wl_coord *c = arg;
+
+	if (!coord_call_ended(c) || c->term_lost || r->status != KV_OK)
+		return;
+	for (size_t i = 0; i < r->items_len && !c->term_lost; i++)
+		read_inbox_item(c, &r->items[i]);
+	if (!c->term_lost)
+		coord_request_pass(c);
+}
+
+/* Whether the coordinator does not know yet what is stored under a key of the inbox. */
+static bool key_is_news(const struct wl_coord *c, const char *key)
+{
+	if (g_str_has_prefix(key, KEY_JOB))
+		return !wl_job_has(c->scheduler, key + strlen(KEY_JOB));
+	return g_str_has_prefix(key, KEY_CANCEL) &&
+	       wl_job_is_open(c->scheduler, key + strlen(KEY_CANCEL));
+}
+
+/* Reads the noted keys that the watch has not told of. */
+static void on_note_timer(void *arg)
+{
+	struct wl_coord *c = arg;
+
+	c->note_timer = NULL;
+	for (guint i = 0; i < c->noted_keys->len; i++) {
+		const char *key = c->noted_keys->pdata[i];
+
+		if (c->term_lost || !key_is_news(c, key))
+			continue;
+		counter_add(&noted_reads_total, 1);
+		c->calls_in_flight++;
+		kv_get(c->p->kv, key, KV_READ_LINEARIZABLE, on_noted_key_read, c);
+	}
+	g_ptr_array_set_size(c->noted_keys, 0);
+}
+
+void wl_coord_note_stored(struct wl_coord *c, const char *key)
+{
+	if (key == NULL || !c->loaded || c->term_lost || c->noted_keys->len >= NOTED_KEYS_MAX ||
+		!key_is_news(c, key))
+		return;
+	g_ptr_array_add(c->noted_keys, xstrdup(key));
+	if (c->note_timer == NULL)
+		c->note_timer = loop_timer_add(c->p->loop, NOTE_DELAY, 0, on_note_timer, c);
+}
+
 /* All pages were read: on the first load, logs the term and processes the deferred reports. */
 static void on_inbox_complete(struct wl_coord *c)
 {
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -73,6 +73,9 @@
 	 */
 	struct loop_timer *inbox_timer;
 	unsigned int jobs_read;
+	/* Keys of the inbox that entries have told of since note_timer was started. */
+	GPtrArray *noted_keys;
+	struct loop_timer *note_timer;
 };
 
 /* wl-coord.c */
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -476,6 +476,7 @@
 	 */
 	c->term_confirmed_at = loop_now(p->loop);
 	c->agents = g_ptr_array_new();
+	c->noted_keys = g_ptr_array_new_with_free_func(free);
 	c->agents_by_node = g_hash_table_new(g_str_hash, g_str_equal);
 	c->agents_by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->stored_progress =
@@ -536,6 +537,7 @@
 		free(agent);
 	}
 	g_ptr_array_unref(c->agents);
+	g_ptr_array_unref(c->noted_keys);
 	g_hash_table_destroy(c->agents_by_node);
 	g_hash_table_destroy(c->agents_by_peer);
 	g_hash_table_destroy(c->stored_progress);
@@ -553,6 +555,8 @@
 	loop_timer_del(c->p->loop, c->sweep_timer);
 	loop_timer_del(c->p->loop, c->pass_timer);
 	loop_timer_del(c->p->loop, c->inbox_timer);
+	loop_timer_del(c->p->loop, c->note_timer);
+	c->note_timer = NULL;
 	record_writer_free(c->records);
 	config_feed_free(c->feed);
 	wl_free(c->scheduler);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -45,6 +45,7 @@
 	struct http_client *http;
 	struct kv *kv;
 	struct keyring *keys;
+	struct wl_detour *detour; /* entries only */
 };
 
 /* wl-config-feed.c: the newest configuration, and when it was last verified as such. */
@@ -78,6 +79,8 @@
  */
 struct wl_detour;
 struct wl_detour *wl_detour_new(struct wl_process *p);
+/* Tells the coordinator's process of a key of the inbox that this entry has stored. */
+void wl_detour_note_stored(struct wl_detour *d, const char *key);
 
 /* wl-entry.c */
 struct wl_entry;
@@ -141,6 +144,8 @@
 /* Handles a message that an agent has sent. */
 void wl_coord_handle_message(
 	struct wl_coord *c, struct peer_net *net, peer_id peer, struct wl_msg *m);
+/* An entry has stored a key of the inbox: it is read unless the watch tells of it soon. */
+void wl_coord_note_stored(struct wl_coord *c, const char *key);
 void wl_coord_handle_peer_closed(struct wl_coord *c, peer_id peer);
 
 /* wl-coord-records.c: writes job progress and the list of nodes to the store. */
--- a/packages/daemon/wl-detour.c
+++ b/packages/daemon/wl-detour.c
@@ -147,6 +147,22 @@
 	bytes_clear(&out);
 }
 
+/*
+ * The watch of the coordinator may hear nothing for a while, or its connection may be dead. The
+ * note only makes the coordinator read the key: what counts is what the store holds.
+ */
+void wl_detour_note_stored(struct wl_detour *d, const char *key)
+{
+	const struct wl_msg m = {.kind = WL_MSG_INBOX_NOTE, .inbox_note = {.key = (char *)key}};
+	struct bytes out;
+
+	if (!d->connected)
+		return;
+	out = wl_msg_encode(&m);
+	peer_send(d->net, d->peer, out.data, out.len);
+	bytes_clear(&out);
+}
+
 static void on_opened(void *arg, peer_id peer, bool dialled)
 {
 	struct wl_detour *d = arg;
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -110,6 +110,15 @@
 	entry_call_route(c);
 }
 
+/* Tells the coordinator of a key that was stored for a call. */
+static void note_stored(const struct entry_call *c, const char *prefix)
+{
+	AUTOFREE char *key = NULL;
+
+	xasprintf(&key, "%s%s", prefix, c->id);
+	wl_detour_note_stored(c->entry->p->detour, key);
+}
+
 static void on_submit_stored(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
@@ -135,6 +144,7 @@
 				r->status == KV_OK ? "stored" : "known", config_revision,
 				(now - c->arrived) / NSEC_PER_MSEC);
 			counter_add(&accepted_total, 1);
+			note_stored(c, KEY_JOB);
 			histogram_add(&submit_seconds, now - c->arrived);
 			reply(c, 200, NULL);
 			return;
@@ -268,6 +278,7 @@
 	config_feed_apply_result(c->entry->feed, r);
 	if (r->status == KV_OK) {
 		event_log(EV_CANCEL, "job=%s status=200", c->id);
+		note_stored(c, KEY_CANCEL);
 		reply(c, 200, NULL);
 		return;
 	}
--- a/packages/daemon/wl-process.c
+++ b/packages/daemon/wl-process.c
@@ -141,7 +141,7 @@
 	bool ok = init_process(&p, o, &err);
 
 	if (ok && role == WL_ROLE_ENTRY) {
-		wl_detour_new(&p.process);
+		p.process.detour = wl_detour_new(&p.process);
 		ok = (p.entry = wl_entry_new(&p.process, &err)) != NULL;
 	}
 	if (ok && role == WL_ROLE_AGENT)
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -18,6 +18,8 @@
  *
  *   {"down":true}        the store answers 503 to every call, and leases don't expire
  *   {"door":false}       the store answers 503 to calls on its second address
+ *   {"deaf_watches":true} watches on the store tell of no change; what they answer at the end
+ * of their time says that there was none
  *   {"drop_answers":3}   the next 3 transactions that write a key are committed and answered
  *                        with 500; those that only remove keys are answered as usual
  *   {"crash":"WORKER"}   the worker loses its state and starts again
@@ -107,6 +109,7 @@
 static int64_t revision = 1;
 static int64_t next_lease = 100;
 static bool down;
+static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
 static json_int_t starts_to_delay;
@@ -180,7 +183,9 @@
 {
 	json_t *events = json_array();
 
-	for (guint i = 0; i < history->len && json_array_size(events) < WATCH_EVENTS_MAX; i++) {
+	for (guint i = 0;
+		!deaf_watches && i < history->len && json_array_size(events) < WATCH_EVENTS_MAX;
+		i++) {
 		const struct item *it = history->pdata[i];
 
 		if (it->revision > w->after_revision && g_str_has_prefix(it->key, w->prefix))
@@ -424,6 +429,8 @@
 		txn_answers_to_drop = json_integer_value(json_object_get(in, "drop_answers"));
 	if (json_object_get(in, "late_orders") != NULL)
 		starts_to_delay = json_integer_value(json_object_get(in, "late_orders"));
+	if (json_object_get(in, "deaf_watches") != NULL)
+		deaf_watches = json_is_true(json_object_get(in, "deaf_watches"));
 	if (json_object_get(in, "lost_holds") != NULL)
 		renewal_answers_to_drop = json_integer_value(json_object_get(in, "lost_holds"));
 	if (json_object_get(in, "lost_starts") != NULL)
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -18,6 +18,13 @@
 	return wl_find_job(w, id) != NULL;
 }
 
+bool wl_job_is_open(const struct wl *w, const char *id)
+{
+	const struct wl_job *j = wl_find_job(w, id);
+
+	return j != NULL && !wl_state_ended(j->state);
+}
+
 /* Returns the resources that one task of a step reserves; a filler task reserves no cores. */
 struct wl_resources task_need(const struct wl_step *s)
 {
@@ -468,6 +475,7 @@
 	w->unacked_nodes = g_ptr_array_new();
 	w->racks = g_ptr_array_new_with_free_func(rack_free);
 	w->no_nodes = g_ptr_array_new();
+	w->usages = g_array_new(FALSE, TRUE, sizeof(struct wl_usage));
 	w->demands = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, org_demand_free);
 	TAILQ_INIT(&w->list);
 	return w;
@@ -496,6 +504,7 @@
 	g_ptr_array_unref(w->unacked_nodes);
 	g_ptr_array_unref(w->racks);
 	g_ptr_array_unref(w->no_nodes);
+	g_array_unref(w->usages);
 	g_hash_table_destroy(w->nodes_by_name);
 	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
 		TAILQ_REMOVE(&w->list, j, entry);
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -201,6 +201,9 @@
 };
 static const struct field_table wl_store_reply_fields = TABLE(wl_store_reply);
 
+static const struct field wl_inbox_note_list[] = {TEXT(wl_inbox_note, key)};
+static const struct field_table wl_inbox_note_fields = TABLE(wl_inbox_note);
+
 /* Field table of each message kind. */
 static const struct field_table *const msg_tables[WL_MSG_END] = {
 	[WL_MSG_HELLO] = &wl_hello_fields,
@@ -214,6 +217,7 @@
 	[WL_MSG_PING] = &wl_ping_fields,
 	[WL_MSG_STORE_CALL] = &wl_store_call_fields,
 	[WL_MSG_STORE_REPLY] = &wl_store_reply_fields,
+	[WL_MSG_INBOX_NOTE] = &wl_inbox_note_fields,
 };
 
 /*
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -190,6 +190,7 @@
 static void commit_placements(struct wl *w, struct wl_unit *u, const GArray *plan, int64_t now)
 {
 	uint32_t attempt = next_attempt(w, u->attempt);
+	struct wl_resources need = task_need(u->step);
 	struct wl_job *j = u->job;
 
 	for (guint i = 0; i < plan->len; i++) {
@@ -198,6 +199,7 @@
 
 		task_attach(t, p->node, u->step->gang ? attempt : next_attempt(w, t->attempt));
 		t->phase = TASK_PLACED;
+		usage_add(w, p->node, &need);
 		t->placement_version = j->version + 1;
 		t->placed_at = now;
 		t->running_at = 0;
@@ -356,6 +358,7 @@
 	w->changed = false;
 	health_check(w, now);
 	compute_available(w, now);
+	usage_compute(w);
 	TAILQ_FOREACH(j, &w->list, entry) {
 		int64_t due;
 
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -4,6 +4,8 @@
 #define SPREAD_WAIT_SHARE 0.5
 /* Added to the score of a rack for slow workers in the plan; above all other scores. */
 #define SLOW_RACK_COST INT32_MAX
+/* A task waits this long for reservations on workers that would otherwise be idle. */
+#define IDLE_WAIT_MAX (1500 * NSEC_PER_MSEC)
 /* Workers with a higher failure score are used only if no other fits. */
 #define FAILURE_SCORE_AVOID 0.7
 
@@ -111,13 +113,18 @@
 	return view == VIEW_FREE ? &n->free : &n->free_after_stops;
 }
 
-/* Whether a task ends before a worker's reservation begins, or fits beside it. */
+/*
+ * Whether a task ends before a worker's reservation begins, or fits beside it. A task that has
+ * waited for IDLE_WAIT_MAX may also use a reserved worker of a service that is half idle.
+ */
 static bool respects_reservation(const struct wl_node *n, const struct wl_task *t,
 	const struct wl_resources *need, int64_t now)
 {
 	return n->reserved_from == 0 ||
 	       now + step_estimate(t->unit->job, t->unit->step) <= n->reserved_from ||
-	       resources_fit(&n->unreserved, need);
+	       resources_fit(&n->unreserved, need) ||
+	       (now - t->waiting_since > IDLE_WAIT_MAX &&
+		       service_is_half_idle(n->wl, n->service));
 }
 
 /* A worker that fits a task of the unit that is being placed. */
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -258,6 +258,13 @@
 	TAILQ_HEAD(, wl_task) tasks;
 };
 
+/* The usable workers of a service in this pass, and what is allocated on them. */
+struct wl_usage {
+	const char *service; /* interned, owned by a node */
+	struct wl_available capacity;
+	struct wl_available used;
+};
+
 /* The nodes of a rack that have a worker. */
 struct wl_rack {
 	char *name; /* interned */
@@ -279,6 +286,7 @@
 	GPtrArray *racks;
 	bool racks_stale;
 	GPtrArray *no_nodes; /* empty */
+	GArray *usages;	     /* of each service, in this pass */
 	/* Demand by organisation; the figures are recomputed if stale. */
 	GHashTable *demands;
 	bool demands_stale;
@@ -369,6 +377,11 @@
 void headroom_record_job(struct wl *w, const struct wl_job *j, int64_t now);
 void headroom_select(struct wl *w, int64_t now);
 
+/* wl-usage.c */
+void usage_compute(struct wl *w);
+void usage_add(struct wl *w, const struct wl_node *n, const struct wl_resources *need);
+bool service_is_half_idle(const struct wl *w, const char *service);
+
 /* wl-reserve.c */
 /* How the end of a run is predicted. */
 enum reservation_basis {
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -329,6 +329,14 @@
 	struct bytes body;
 };
 
+/*
+ * From an entry process to the process of the coordinator: the entry has stored this key of the
+ * inbox. The coordinator reads it if its watch does not tell of it.
+ */
+struct wl_inbox_note {
+	char *key;
+};
+
 enum wl_msg_kind {
 	WL_MSG_HELLO = 64,
 	WL_MSG_LEAD_BEAT,
@@ -341,6 +349,7 @@
 	WL_MSG_PING,
 	WL_MSG_STORE_CALL,
 	WL_MSG_STORE_REPLY,
+	WL_MSG_INBOX_NOTE,
 	WL_MSG_END
 };
 struct wl_msg {
@@ -357,6 +366,7 @@
 		struct wl_ping ping;
 		struct wl_store_call store_call;
 		struct wl_store_reply store_reply;
+		struct wl_inbox_note inbox_note;
 	};
 };
 struct bytes wl_msg_encode(const struct wl_msg *m);
@@ -409,6 +419,8 @@
 	const struct wl_progress *p);
 void wl_job_cancel(struct wl *w, int64_t now, int64_t wall, const char *id);
 bool wl_job_has(const struct wl *w, const char *id);
+/* Whether a job is known and has not ended. */
+bool wl_job_is_open(const struct wl *w, const char *id);
 /* Encodes the progress to store; version identifies it for wl_job_stored. */
 struct bytes wl_job_progress(struct wl *w, const char *id, uint64_t *version);
 void wl_job_stored(struct wl *w, int64_t now, const char *id, uint64_t version);
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -238,6 +238,50 @@
 	fixture_clear(&f);
 }
 
+/*
+ * Wide gang that waits for its last workers: what is reserved for it stays idle. While most of
+ * the fleet is, another gang starts there after a while, although it ends after the wait.
+ */
+static void test_reservation_leaves_idle_fleet(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	for (unsigned int i = 0; i < 10; i++) {
+		char name[8];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		report_worker(&f, name, NULL, 0, NULL, 0);
+	}
+	submit_job(&f, 1, "batch", 3, 5, 5000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 3);
+	submit_job(&f, 2, "batch", 8, 8, 5000, true);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 3);
+	submit_job(&f, 3, "batch", 2, 8, 60000, true);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 3);
+	f.now += 2 * SEC;
+	for (unsigned int i = 3; i < 10; i++) {
+		char name[8];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		report_worker(&f, name, NULL, 0, NULL, 0);
+	}
+	for (unsigned int i = 0; i < 3; i++) {
+		char name[8];
+		char task[32];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		snprintf(task, sizeof(task), "0000000000000001.0.0.%u", i);
+		report_percent(&f, name, task, 1, 1);
+	}
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 5);
+	fixture_clear(&f);
+}
+
 /*
  * Malformed lists: an answer that says OK without complete lists says nothing about what runs,
  * and must not pass for a worker without runs.
@@ -282,5 +326,7 @@
 		test_refusals_back_off);
 	CU_add_test(s, "slow workers: gangs go elsewhere", test_gang_avoids_slow_worker);
 	CU_add_test(s, "burst of urgent jobs: the headroom grows", test_headroom_follows_rate);
+	CU_add_test(s, "wide gang that waits: a half idle fleet is used",
+		test_reservation_leaves_idle_fleet);
 	CU_add_test(s, "malformed lists are no lists", test_incomplete_lists);
 }
