workers that fail what they start: probation instead of one task after another

Ends of runs that had started before the fault halved the score.

Change: after a run that failed within 0.5 s of its start a worker gets nothing for 1 s (doubling to 8), then one single task with attempts to spare, and no gang, until a run that started later succeeds; only where its service has other workers. A job that fails everywhere puts one worker on probation. A success counts for the failure score only if its run started after the failure.

Tests: unit "worker that fails all", "job that fails everywhere".

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -33,6 +33,8 @@
 EVENT(EV_WORKER_DRAIN, "worker-drain", "node life remaining_ms tasks", "a worker is leaving")
 EVENT(EV_WORKER_SUSPECT, "worker-suspect", "node strikes",
 	"a worker fails or stalls what it runs")
+EVENT(EV_WORKER_PROBATION, "worker-probation", "node pause_ms",
+	"a run failed at its start: the worker gets no tasks for a while")
 EVENT(EV_JOB_SEEN, "job-seen", "job queue org tasks revision", "the coordinator has a new job")
 EVENT(EV_JOB_END, "job-end", "job state why", "a job has ended")
 EVENT(EV_TASK_START, "task-start", "task attempt node checkpoint waited_ms",
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -154,10 +154,15 @@
 		event_log(EV_WORKER_SUSPECT, "node=%s strikes=%.1f", n->name, n->failure_score);
 }
 
-/* Halves the failure score after a successful run. */
-void node_record_success(struct wl_node *n)
+/*
+ * Halves the failure score after a successful run. One that started before the last failure
+ * says nothing about what the worker does with new ones.
+ */
+void node_record_success(struct wl_node *n, int64_t started_at)
 {
-	n->failure_score /= 2;
+	probation_record_success(n, started_at);
+	if (started_at >= n->failure_score_at)
+		n->failure_score /= 2;
 }
 
 /* Whether a worker accepts new tasks. */
@@ -190,6 +195,9 @@
 	n->failure_score = 0;
 	n->blocked_until = 0;
 	n->refusals = 0;
+	n->probation_since = 0;
+	n->probation_pause_until = 0;
+	n->probation_runs = 0;
 	speed_reset(n);
 	g_array_set_size(n->pending_ends, 0);
 }
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -356,6 +356,7 @@
 	if (w->config == NULL)
 		return next;
 	w->changed = false;
+	w->pass_at = now;
 	health_check(w, now);
 	compute_available(w, now);
 	usage_compute(w);
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -44,7 +44,8 @@
 bool node_eligible(const struct wl_node *n, const struct wl_unit *u)
 {
 	return n->usable && (!n->headroom || n->wl->may_use_headroom) &&
-	       n->service == u->job->service && (u->label == NULL || has_label(n, u->label));
+	       probation_allows(n, u, n->wl->pass_at) && n->service == u->job->service &&
+	       (u->label == NULL || has_label(n, u->label));
 }
 
 /* Number of tasks of a unit on a worker, including the planned ones. */
@@ -63,11 +64,15 @@
 	return count;
 }
 
-/* Whether per_worker_max allows one more task of a unit on a worker. */
+/*
+ * Whether per_worker_max allows one more task of a unit on a worker. One on probation gets a
+ * single task.
+ */
 bool below_worker_limit(const struct wl_unit *u, const struct wl_node *n, const GArray *plan)
 {
-	return u->step->per_worker_max == 0 ||
-	       count_on_node(u, n, plan) < u->step->per_worker_max;
+	uint32_t max = probation_applies(n, n->wl->pass_at) ? 1 : u->step->per_worker_max;
+
+	return max == 0 || count_on_node(u, n, plan) < max;
 }
 
 /* Cost of placing a task on a worker, most significant first; lower is better. */
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -125,6 +125,10 @@
 	 */
 	int64_t retry_at;
 	bool is_done;
+	/* Most failures of one of its tasks, or of the gang. */
+	uint32_t most_failures;
+	/* The first worker on which a run failed at its start; see wl-probation.c. */
+	const struct wl_node *quick_failure_node;
 	/* Completed runs that were timed, and the sum of the logarithms of their times. */
 	uint32_t timed_runs;
 	double log_time_sum;
@@ -219,7 +223,11 @@
 	int64_t last_contact_at;
 	int64_t last_report_at;
 	int64_t blocked_until;
-	unsigned int refusals; /* starts refused since the last one that was confirmed */
+	/* When a run last failed at its start on the worker, 0 for none; see wl-probation.c. */
+	int64_t probation_since;
+	int64_t probation_pause_until;
+	unsigned int probation_runs; /* failures at the start in a row, up to 4 */
+	unsigned int refusals;	     /* starts refused since the last one that was confirmed */
 	/*
 	 * The last report listed runs that should have made progress, and none had. May be the
 	 * fault of another worker, if they are all members of gangs.
@@ -263,6 +271,7 @@
 	const char *service; /* interned, owned by a node */
 	struct wl_available capacity;
 	struct wl_available used;
+	unsigned int sound_workers; /* not on probation */
 };
 
 /* The nodes of a rack that have a worker. */
@@ -301,6 +310,7 @@
 	int64_t urgent_rate_at;
 	/* Something changed since the last pass that may allow a task to start. */
 	bool changed;
+	int64_t pass_at; /* time of the present pass */
 	/* Whether the unit that is being placed may use headroom workers. */
 	bool may_use_headroom;
 };
@@ -343,7 +353,7 @@
 bool node_usable(const struct wl_node *n, int64_t now);
 double node_failure_score(const struct wl_node *n, int64_t now);
 void node_record_failure(struct wl_node *n, int64_t now);
-void node_record_success(struct wl_node *n);
+void node_record_success(struct wl_node *n, int64_t started_at);
 
 /* wl-place.c */
 bool resources_fit(const struct wl_available *r, const struct wl_resources *n);
@@ -380,6 +390,7 @@
 /* wl-usage.c */
 void usage_compute(struct wl *w);
 void usage_add(struct wl *w, const struct wl_node *n, const struct wl_resources *need);
+bool service_has_sound_worker(const struct wl *w, const char *service);
 bool service_is_half_idle(const struct wl *w, const char *service);
 
 /* wl-reserve.c */
@@ -392,6 +403,14 @@
 bool reserve_resources(struct wl *w, struct wl_unit *u, int64_t now, bool anywhere,
 	enum reservation_basis basis, int64_t until);
 
+/* wl-probation.c */
+void probation_record_failure(
+	struct wl_node *n, struct wl_unit *u, int64_t now, int64_t started_at);
+void probation_record_success(struct wl_node *n, int64_t started_at);
+bool node_on_probation(const struct wl_node *n, int64_t now);
+bool probation_applies(const struct wl_node *n, int64_t now);
+bool probation_allows(const struct wl_node *n, const struct wl_unit *u, int64_t now);
+
 /* wl-speed.c */
 void speed_record(struct wl_node *n, struct wl_unit *u, int64_t duration);
 void speed_reset(struct wl_node *n);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -252,6 +252,7 @@
 		return;
 	*last_counted = attempt;
 	(*failures)++;
+	u->most_failures = MAX(u->most_failures, *failures);
 	u->retry_at = *failures == 1
 			      ? now
 			      : now + MIN(RETRY_DELAY << MIN(*failures, 8u), RETRY_DELAY_MAX);
@@ -331,6 +332,7 @@
 {
 	struct wl_task *t = job_task(w, e->task, now);
 	bool current;
+	int64_t started_at;
 
 	event_log(EV_TASK_END, "task=%s attempt=%u node=%s how=%s saved=%s", e->task,
 		e->attempt, n->name, wl_end_name(e->how), e->checkpoint ? e->checkpoint : "");
@@ -340,10 +342,11 @@
 		return;
 	}
 	current = t->node == n && t->attempt == e->attempt;
+	started_at = current ? t->placed_at : 0;
 	t->attempt = MAX(t->attempt, e->attempt);
 	t->unit->attempt = MAX(t->unit->attempt, e->attempt);
 	if (e->how == WL_END_DONE && !t->unit->step->long_running) {
-		node_record_success(n);
+		node_record_success(n, started_at);
 		if (current && t->running_at > 0 && *t->checkpoint == '\0') {
 			run_stats_record(t, now - t->running_at);
 			if (!t->unit->step->gang)
@@ -362,6 +365,7 @@
 	}
 	if (e->how == WL_END_FAILED) {
 		node_record_failure(n, now);
+		probation_record_failure(n, t->unit, now, started_at);
 		t->avoid_node = n;
 		attempt_failed(t, now, wall, e->attempt);
 	}
--- a/packages/workload/wl-usage.c
+++ b/packages/workload/wl-usage.c
@@ -33,6 +33,7 @@
 			g_array_append_val(w->usages, fresh);
 		}
 		resources_add(&usage_find(w, n->service)->capacity, &n->capacity);
+		usage_find(w, n->service)->sound_workers += !node_on_probation(n, w->pass_at);
 		used.cores_m =
 			n->capacity.cores_m - CLAMP(n->free.cores_m, 0, n->capacity.cores_m);
 		used.memory_mb = n->capacity.memory_mb -
@@ -52,6 +53,13 @@
 		resources_add(&u->used, need);
 }
 
+bool service_has_sound_worker(const struct wl *w, const char *service)
+{
+	const struct wl_usage *u = usage_find(w, service);
+
+	return u != NULL && u->sound_workers > 0;
+}
+
 /* Whether under half of each resource of a service is in use; true if it has no worker. */
 bool service_is_half_idle(const struct wl *w, const char *service)
 {
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -282,6 +282,85 @@
 	fixture_clear(&f);
 }
 
+/* Reports that the last start has failed on its worker. */
+static void report_failure(struct fixture *f, uint64_t number)
+{
+	struct wl_ended end = {.number = number,
+		.task = f->last_start,
+		.attempt = f->last_attempt,
+		.how = WL_END_FAILED};
+
+	report_worker(f, f->last_node, NULL, 0, &end, 1);
+}
+
+/*
+ * Worker that fails whatever it starts: it is always free. On a busy fleet an urgent gang waits
+ * for a sound worker; the failing one gets single tasks with attempts to spare, ever less
+ * often.
+ */
+static void test_failing_worker_gets_no_gang(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w0", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "urgent", 1, 8, 60000, false);
+	run_pass(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 2, "urgent", 1, 8, 1000, true);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	f.now += 50 * MS;
+	report_failure(&f, 1);
+	for (unsigned int i = 0; i < 40; i++) {
+		f.now += 100 * MS;
+		report_percent(&f, "w0", "0000000000000001.0.0.0", 1, i);
+		report_worker(&f, "w1", NULL, 0, NULL, 0);
+		run_pass(&f);
+	}
+	CU_ASSERT_EQUAL(f.starts, 2);
+	submit_job(&f, 3, "urgent", 3, 1, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 3);
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w1");
+	f.now += 50 * MS;
+	report_failure(&f, 2);
+	for (unsigned int i = 0; i < 15; i++) {
+		f.now += 100 * MS;
+		report_percent(&f, "w0", "0000000000000001.0.0.0", 1, 40 + i);
+		report_worker(&f, "w1", NULL, 0, NULL, 0);
+		run_pass(&f);
+	}
+	CU_ASSERT_EQUAL(f.starts, 3);
+	report_worker(&f, "w2", NULL, 0, NULL, 0);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w2");
+	fixture_clear(&f);
+}
+
+/* Job that fails on every worker: only the first of them is suspected. */
+static void test_hopeless_job_blames_one_worker(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	report_worker(&f, "w2", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "urgent", 1, 8, 1000, true);
+	run_pass(&f);
+	f.now += 50 * MS;
+	report_failure(&f, 1);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	f.now += 50 * MS;
+	report_failure(&f, 1);
+	submit_job(&f, 2, "urgent", 1, 8, 1000, true);
+	run_pass(&f);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000002.0.0.0");
+	CU_ASSERT_STRING_EQUAL(f.last_node, "w2");
+	fixture_clear(&f);
+}
+
 /*
  * Malformed lists: an answer that says OK without complete lists says nothing about what runs,
  * and must not pass for a worker without runs.
@@ -328,5 +407,9 @@
 	CU_add_test(s, "burst of urgent jobs: the headroom grows", test_headroom_follows_rate);
 	CU_add_test(s, "wide gang that waits: a half idle fleet is used",
 		test_reservation_leaves_idle_fleet);
+	CU_add_test(s, "worker that fails all: no gang, ever fewer tasks",
+		test_failing_worker_gets_no_gang);
+	CU_add_test(s, "job that fails everywhere: one worker is suspected",
+		test_hopeless_job_blames_one_worker);
 	CU_add_test(s, "malformed lists are no lists", test_incomplete_lists);
 }
