--- a/packages/workload/wl-speed.c
+++ b/packages/workload/wl-speed.c
@@ -30,7 +30,8 @@
 		return;
 	x = log((double)duration);
 	if (u->timed_runs >= STEP_RUNS_MIN) {
-		weight = MAX(RUN_WEIGHT, 1.0 / ++n->timed_runs);
+		n->timed_runs++;
+		weight = MAX(RUN_WEIGHT, 1.0 / n->timed_runs);
 		n->slowness += weight * (x - u->log_time_sum / u->timed_runs - n->slowness);
 	}
 	u->timed_runs++;
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -375,6 +375,7 @@
 		{"{\"clock_ms\":1,\"running\":[[\"t\",1,\"\",5]],\"finished\":[]}", true},
 		{"{\"clock_ms\":1,\"running\":[[7,1,\"\",5]],\"finished\":[]}", false},
 		{"{\"clock_ms\":1,\"running\":[],\"finished\":[[1]]}", false},
+		{"{\"clock_ms\":1,\"running\":[[\"t\",-1,\"\",1e300]],\"finished\":[]}", true},
 		{"{\"clock_ms\":1,\"finished\":[]}", false},
 		{"{\"clock_ms\":1,\"running\":{},\"finished\":[]}", false},
 		{"{\"clock_ms\":1", false},
