agent: a worker that is gone is given up in time; authority is back before any start

Change: an unknown clock adds no drift; a transaction that requires the term confirms it, as a renewal does, and the agents hear of it before the starts that waited are sent. A later term begins after that transaction, and its coordinator waits for longer than the authority that follows.

The stand-in has a worker that is gone for good, and its leases pause during an outage.

--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -49,6 +49,7 @@
 	struct wl_process *p;
 	struct wl *scheduler;
 	int64_t term_revision;
+	record_confirmed_fn *on_confirmed;
 	record_stored_fn *on_stored;
 	loop_fn *on_term_lost;
 	void *arg;
@@ -264,6 +265,9 @@
 		record_writer_free(r);
 		return;
 	}
+	/* Before the starts that waited for this are sent. */
+	if (res->status == KV_OK)
+		r->on_confirmed(res->sent, r->arg);
 	if (res->status == KV_CONFLICT && !update_revisions(r, res)) {
 		r->term_lost = true;
 		r->on_term_lost(r->arg);
@@ -407,13 +411,15 @@
 
 /* Creates a writer whose transactions are conditional on the revision of the term. */
 struct record_writer *record_writer_new(struct wl_process *p, struct wl *scheduler,
-	int64_t term_revision, record_stored_fn *on_stored, loop_fn *on_term_lost, void *arg)
+	int64_t term_revision, record_confirmed_fn *on_confirmed, record_stored_fn *on_stored,
+	loop_fn *on_term_lost, void *arg)
 {
 	struct record_writer *r = xcalloc(1, sizeof(*r));
 
 	r->p = p;
 	r->scheduler = scheduler;
 	r->term_revision = term_revision;
+	r->on_confirmed = on_confirmed;
 	r->on_stored = on_stored;
 	r->on_term_lost = on_term_lost;
 	r->arg = arg;
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -190,6 +190,37 @@
 	send_to_node(c, agent->node, &msg);
 }
 
+/*
+ * The store has confirmed the term again after a gap in which the agents' authority may have
+ * run out. They get it back before the orders of the next pass reach them: an agent without
+ * authority refuses starts.
+ */
+static void resume_after_gap(struct wl_coord *c)
+{
+	for (guint i = 0; i < c->agents->len; i++) {
+		const struct agent_conn *agent = c->agents->pdata[i];
+
+		if (agent->last_echo != 0)
+			send_coordinator_heartbeat(c, agent, agent->last_echo);
+	}
+	schedule_pass(c, 0);
+}
+
+/*
+ * The store has confirmed the term by a call that was sent at a time: a renewal, or a
+ * transaction that requires the term. A coordinator of a later term comes after that, and waits
+ * for longer than the authority that follows from this.
+ */
+static void on_term_confirmed(int64_t sent, void *arg)
+{
+	struct wl_coord *c = arg;
+	bool late = sent - c->term_confirmed_at > RENEWAL_GAP_MAX;
+
+	c->term_confirmed_at = MAX(c->term_confirmed_at, sent);
+	if (late)
+		resume_after_gap(c);
+}
+
 /* Passes a report to the scheduler. */
 static void apply_report(struct wl_coord *c, const struct wl_report *r)
 {
@@ -329,22 +360,6 @@
 		agent_disconnected(c, agent);
 }
 
-/*
- * The store has confirmed the term again after a gap in which the agents' authority may have
- * run out. They get it back before the orders of the next pass reach them: an agent without
- * authority refuses starts.
- */
-static void resume_after_gap(struct wl_coord *c)
-{
-	for (guint i = 0; i < c->agents->len; i++) {
-		const struct agent_conn *agent = c->agents->pdata[i];
-
-		if (agent->last_echo != 0)
-			send_coordinator_heartbeat(c, agent, agent->last_echo);
-	}
-	schedule_pass(c, 0);
-}
-
 /*
  * Handles the reply to a renewal of the store lease. The term is confirmed as of when the
  * request was sent, since the lease may have been renewed any time after that.
@@ -352,19 +367,14 @@
 static void on_lease_renewed(const struct kv_result *r, void *arg)
 {
 	struct wl_coord *c = arg;
-	bool late;
 
 	c->renewing_lease = false;
 	if (!coord_call_ended(c))
 		return;
 	if (r->status == KV_NOT_FOUND)
 		coord_lose_term(c, "the store lease has expired");
-	if (r->status != KV_OK)
-		return;
-	late = r->sent - c->term_confirmed_at > RENEWAL_GAP_MAX;
-	c->term_confirmed_at = MAX(c->term_confirmed_at, r->sent);
-	if (late)
-		resume_after_gap(c);
+	if (r->status == KV_OK)
+		on_term_confirmed(r->sent, c);
 }
 
 /* Renews the store lease of the coordinator's key. */
@@ -483,8 +493,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stored_progress_free);
 	c->pending_cancels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->scheduler = wl_new(term, &limits, &out);
-	c->records = record_writer_new(
-		p, c->scheduler, term_revision, on_records_stored, on_term_superseded, c);
+	c->records = record_writer_new(p, c->scheduler, term_revision, on_term_confirmed,
+		on_records_stored, on_term_superseded, c);
 	c->feed = config_feed_new(p, CONFIG_PERIOD, on_config, c);
 	c->renew_timer = loop_timer_add(
 		p->loop, STORE_LEASE_RENEW_PERIOD, STORE_LEASE_RENEW_PERIOD, renew_lease, c);
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -73,10 +73,13 @@
 void worker_note_lease(struct wl_worker *w, const struct http_call *c, int64_t sent_at)
 {
 	/* From the last time that the worker's clock was known to when the lease ends. */
-	int64_t span = sent_at - w->clock_at + w->p->settings.lease_max;
+	int64_t span = w->p->settings.lease_max;
 
 	if (c->error != NULL && c->never_sent)
 		return;
+	/* 0 after a change of the instance: the lease was that of the one before. */
+	if (w->clock_at != 0)
+		span += MAX(sent_at - w->clock_at, 0);
 	w->lease_end_at = MAX(w->lease_end_at,
 		sent_at + w->p->settings.lease_max + span / SLOW_CLOCK_DIVISOR + LEASE_MARGIN);
 }
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -25,6 +25,8 @@
  *   {"crash":"WORKER"}   the worker loses its state and starts again
  *   {"mute":"WORKER"}    the worker carries out calls and answers them with 500, until
  *                        "mute" names another worker or none that exists
+ *   {"gone":"WORKER"}    the worker loses its state, sends no heartbeats, and answers calls
+ * with 500 without carrying them out, until "gone" names another or none
  *   {"late_orders":2}    the next 2 starts are answered with 500 and carried out later
  *   {"lost_starts":1}    the next start is carried out and never answered
  *   {"lost_holds":1}     the next lease renewal is carried out and never answered
@@ -97,6 +99,7 @@
 	json_t *finished;
 	unsigned int started;
 	bool mute;
+	bool gone;
 };
 
 static struct loop *loop;
@@ -109,6 +112,7 @@
 static int64_t revision = 1;
 static int64_t next_lease = 100;
 static bool down;
+static int64_t down_since_ms;
 static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
@@ -414,15 +418,26 @@
 	return out;
 }
 
+/* Starts or ends an outage of the store, for which the leases pause. */
+static void set_down(bool is_down)
+{
+	if (is_down && !down)
+		down_since_ms = now_ms();
+	for (guint i = 0; !is_down && down && i < leases->len; i++)
+		g_array_index(leases, struct lease, i).until_ms += now_ms() - down_since_ms;
+	down = is_down;
+}
+
 /* Applies the faults that a call asks for and reports counts and violations. */
 static void handle_control(struct http_request *r, const json_t *in)
 {
 	const char *crash = json_string_value(json_object_get(in, "crash"));
 	const char *mute = json_string_value(json_object_get(in, "mute"));
+	const char *gone = json_string_value(json_object_get(in, "gone"));
 	json_t *started = json_object();
 
 	if (json_object_get(in, "down") != NULL)
-		down = json_is_true(json_object_get(in, "down"));
+		set_down(json_is_true(json_object_get(in, "down")));
 	if (json_object_get(in, "door") != NULL)
 		second_addr_down = !json_is_true(json_object_get(in, "door"));
 	if (json_object_get(in, "drop_answers") != NULL)
@@ -440,8 +455,11 @@
 
 		if (mute != NULL)
 			w->mute = strcmp(mute, w->name) == 0;
-		if (crash != NULL && strcmp(crash, w->name) == 0)
+		if ((crash != NULL && strcmp(crash, w->name) == 0) ||
+			(gone != NULL && strcmp(gone, w->name) == 0))
 			worker_crash(w);
+		if (gone != NULL)
+			w->gone = strcmp(gone, w->name) == 0;
 		json_object_set_new(started, w->name, json_integer(w->started));
 	}
 	reply(r, 200,
@@ -678,7 +696,9 @@
 	const char *path = http_path(q);
 
 	free(arg);
-	if (fence < w->fence) {
+	if (w->gone) {
+		http_reply(q, 500, NULL, "", 0);
+	} else if (fence < w->fence) {
 		worker_reply(w, q, 409,
 			json_pack("{s:s,s:I}", "reason", "fence", "clock_ms",
 				(json_int_t)now_ms()));
@@ -776,7 +796,7 @@
 			else if (r->remaining_ms <= 0)
 				run_end(w, r, "done");
 		}
-		if (now_ms() >= w->next_heartbeat_ms) {
+		if (!w->gone && now_ms() >= w->next_heartbeat_ms) {
 			w->next_heartbeat_ms = now_ms() + HEARTBEAT_PERIOD / NSEC_PER_MSEC;
 			send_heartbeat(w);
 		}
