workload: names and organisations' demand in files of their own

Reading the diff as a newcomer: interned names (wl-name.c) and the urgent demand of organisations (wl-demand.c) stood in the files of nodes and of preemption; "suspended" read like a stopped VM and is no_progress; the unreliability of a worker was added up twice.

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -22,8 +22,7 @@
 /* A coordinator whose term the store last confirmed longer ago may have been replaced. */
 #define TERM_AGE_MAX  (2000 * NSEC_PER_MSEC)
 #define LOOKUP_PERIOD (400 * NSEC_PER_MSEC)
-/* The coordinator is pinged if no report, of which there is one a second, was sent for this
- * long. */
+/* The coordinator is pinged if no report was sent for this long; there is one a second. */
 #define PING_PERIOD  (1200 * NSEC_PER_MSEC)
 #define DIAL_TIMEOUT (1000 * NSEC_PER_MSEC)
 /* A random delay up to this keeps agents from campaigning all at once. */
@@ -491,7 +490,7 @@
 	else if (m.kind == WL_MSG_INBOX_NOTE && a->coord != NULL)
 		wl_coord_note_stored(a->coord, m.inbox_note.key);
 	else if (m.kind == WL_MSG_INBOX_NOTE)
-		; /* the entry will follow the coordinator by its address in the store */
+		; /* Ignored: the entry soon reads the new coordinator's address. */
 	else if (peer == a->peer && !is_for_coordinator(m.kind))
 		handle_coordinator_message(a, &m);
 	else if (a->coord != NULL)
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -137,7 +137,7 @@
 
 /*
  * Reports a worker as gone that neither answers nor sends heartbeats, once nothing can be
- * running on it any more. An answer or a heartbeat ends this.
+ * running on it any more. An answer ends this.
  */
 static void check_lost(struct wl_worker *w)
 {
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -23,7 +23,7 @@
 /* Failure score from which a worker is logged as suspect. */
 #define SUSPECT_SCORE 2.0
 /* A worker whose runs all make no progress for this long gets tasks only if no other fits. */
-#define SUSPENDED_AFTER (900 * NSEC_PER_MSEC)
+#define NO_PROGRESS_AFTER (900 * NSEC_PER_MSEC)
 /* The stop order for an orphaned run is repeated after this. */
 #define ORPHAN_STOP_INTERVAL NSEC_PER_SEC
 
@@ -41,22 +41,6 @@
 	return name != NULL ? g_hash_table_lookup(w->nodes_by_name, name) : NULL;
 }
 
-void name_free(void *name)
-{
-	if (name != NULL)
-		g_ref_string_release(name);
-}
-
-void name_set(char **to, const char *from)
-{
-	char *old = *to;
-
-	if (from != NULL && old != NULL && strcmp(old, from) == 0)
-		return;
-	*to = from != NULL ? g_ref_string_new_intern(from) : NULL;
-	name_free(old);
-}
-
 uint64_t wl_last_ordinal(const struct wl *w)
 {
 	return w->ordinal;
@@ -145,6 +129,15 @@
 	       pow(0.5, (double)(now - n->failure_score_at) / (double)FAILURE_HALF_LIFE);
 }
 
+/*
+ * How unreliable a worker is, for placing on it: its failure score, and as much as for one
+ * failure if its runs make no progress.
+ */
+double node_unreliability(const struct wl_node *n, int64_t now)
+{
+	return node_failure_score(n, now) + (n->no_progress ? 1.0 : 0.0);
+}
+
 /* Raises the failure score: a run failed or stalled, or the worker answered as unhealthy. */
 void node_record_failure(struct wl_node *n, int64_t now)
 {
@@ -358,7 +351,7 @@
 		task_confirm_running(t, now);
 		t->seen_serial = n->report_serial;
 		task_record_progress(t, now, r->sent_ns, run->percent);
-		idle += task_is_idle(t, SUSPENDED_AFTER);
+		idle += task_is_idle(t, NO_PROGRESS_AFTER);
 		moving += t->listed_ns == t->progress_ns && t->percent > 0;
 		t->measurement = run->figure;
 		record_checkpoint(t, run->checkpoint);
@@ -366,7 +359,7 @@
 			(t->phase == TASK_DONE && !t->unit->step->gang))
 			task_stop(t, now, "the worker still reports the run", NULL);
 	}
-	n->suspended = idle > 0 && moving == 0;
+	n->no_progress = idle > 0 && moving == 0;
 }
 
 /*
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -87,8 +87,7 @@
 static struct place_cost compute_cost(const struct wl_node *n, const struct wl_available *r,
 	const struct wl_task *t, const struct wl_resources *need, int64_t now)
 {
-	double score = node_failure_score(n, now) + (t->avoid_node == n ? 1.0 : 0.0) +
-		       (n->suspended ? 1.0 : 0.0);
+	double score = node_unreliability(n, now) + (t->avoid_node == n ? 1.0 : 0.0);
 	const char *data_rack = t->unit->data_rack;
 
 	return (struct place_cost){.unreliability = score > FAILURE_SCORE_AVOID ? score : 0,
--- a/packages/workload/wl-preempt.c
+++ b/packages/workload/wl-preempt.c
@@ -10,63 +10,11 @@
  */
 #define FAILURE_COST 100.0
 
-void org_demand_free(void *arg)
-{
-	struct wl_org_demand *d = arg;
-
-	free(d->org);
-	free(d);
-}
-
-struct wl_org_demand *org_demand_get(struct wl *w, const char *org)
-{
-	const char *name = org != NULL ? org : "";
-	struct wl_org_demand *d = g_hash_table_lookup(w->demands, name);
-
-	if (d != NULL)
-		return d;
-	d = xcalloc(1, sizeof(*d));
-	d->org = xstrdup(name);
-	g_hash_table_insert(w->demands, d->org, d);
-	return d;
-}
-
-/* Recomputes the demands of all organisations. */
-static void demands_update(struct wl *w)
-{
-	const struct wl_job *j;
-	GHashTableIter it;
-	gpointer value;
-
-	w->demands_stale = false;
-	g_hash_table_iter_init(&it, w->demands);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct wl_org_demand *d = value;
-		const struct wl_org *org = wl_config_org(w->config, d->org);
-
-		d->urgent = 0;
-		d->configured = org != NULL;
-		d->guaranteed = org != NULL ? org->guaranteed : 0;
-	}
-	TAILQ_FOREACH(j, &w->list, entry) {
-		uint64_t largest = 0;
-
-		if (j->priority != URGENT_PRIORITY || wl_state_ended(j->state))
-			continue;
-		for (uint32_t s = 0; s < j->spec.steps_len; s++)
-			largest = MAX(largest, (uint64_t)j->spec.steps[s].count *
-						       j->spec.steps[s].accelerators);
-		j->demand->urgent += largest;
-	}
-}
-
 /* Whether a unit is urgent and its organisation's urgent jobs are within its guarantee. */
 bool unit_within_guarantee(struct wl *w, const struct wl_unit *u)
 {
-	const struct wl_org_demand *d = u->job->demand;
+	const struct wl_org_demand *d = job_org_demand(w, u->job);
 
-	if (w->demands_stale)
-		demands_update(w);
 	return u->job->priority == URGENT_PRIORITY && d->guaranteed > 0 &&
 	       d->urgent <= d->guaranteed;
 }
@@ -78,7 +26,7 @@
  */
 static bool may_preempt(struct wl *w, const struct wl_unit *u, bool within_guarantee)
 {
-	const struct wl_org_demand *d = u->job->demand;
+	const struct wl_org_demand *d = job_org_demand(w, u->job);
 
 	if (u->is_done || u->step->unavailable_max > 0)
 		return false;
@@ -86,8 +34,6 @@
 		return true;
 	if (!within_guarantee)
 		return false;
-	if (w->demands_stale)
-		demands_update(w);
 	return !d->configured || d->urgent > d->guaranteed;
 }
 
@@ -249,8 +195,7 @@
 		if (!node_eligible(n, u) || !below_worker_limit(u, n, plan) ||
 			!preempt_on_node(w, n, &need, c, now))
 			continue;
-		loss = c->loss +
-		       (node_failure_score(n, now) + (n->suspended ? 1.0 : 0.0)) * FAILURE_COST;
+		loss = c->loss + node_unreliability(n, now) * FAILURE_COST;
 		victims_truncate(c, from, before);
 		if (best == NULL || loss < lowest) {
 			best = n;
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -232,7 +232,7 @@
 	 * The last report listed runs that should have made progress, and none had. May be the
 	 * fault of another worker, if they are all members of gangs.
 	 */
-	bool suspended;
+	bool no_progress;
 	/* How much longer its runs take than others, see wl-speed.c. */
 	double slowness;
 	unsigned int timed_runs;
@@ -343,6 +343,7 @@
 void job_release_unconfirmed(struct wl_job *j, const struct wl_node *n, int64_t now);
 uint32_t next_attempt(const struct wl *w, uint32_t last);
 
+/* wl-name.c */
 /* Replaces an interned name; NULL stands for none. */
 void name_set(char **to, const char *from);
 void name_free(void *name);
@@ -352,6 +353,7 @@
 void node_drop_runs(struct wl_node *n, int64_t now, const char *why);
 bool node_usable(const struct wl_node *n, int64_t now);
 double node_failure_score(const struct wl_node *n, int64_t now);
+double node_unreliability(const struct wl_node *n, int64_t now);
 void node_record_failure(struct wl_node *n, int64_t now);
 void node_record_success(struct wl_node *n, int64_t started_at);
 
@@ -387,6 +389,13 @@
 void headroom_record_job(struct wl *w, const struct wl_job *j, int64_t now);
 void headroom_select(struct wl *w, int64_t now);
 
+/* wl-demand.c */
+/* Returns the demand of an organisation, to be kept in wl_job.demand; it may be out of date. */
+struct wl_org_demand *org_demand_get(struct wl *w, const char *org);
+void org_demand_free(void *arg);
+/* The demand of a job's organisation, up to date. */
+const struct wl_org_demand *job_org_demand(struct wl *w, const struct wl_job *j);
+
 /* wl-usage.c */
 void usage_compute(struct wl *w);
 void usage_add(struct wl *w, const struct wl_node *n, const struct wl_resources *need);
@@ -430,9 +439,6 @@
 /* wl-preempt.c */
 bool preempt_for_urgent_unit(
 	struct wl *w, struct wl_unit *u, int64_t now, bool within_guarantee, GArray *plan);
-/* Returns the demand of an organisation; a job keeps it for its lifetime. */
-struct wl_org_demand *org_demand_get(struct wl *w, const char *org);
-void org_demand_free(void *arg);
 /* Whether a unit is urgent and its organisation's urgent jobs need no more than guaranteed. */
 bool unit_within_guarantee(struct wl *w, const struct wl_unit *u);
 
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -387,7 +387,7 @@
 	int64_t retention;   /* how long a job is kept after it ended */
 };
 
-/* Whether anything waits for a change to be stored, other than the memory that it takes. */
+/* Whether anything waits for a change to be stored. */
 enum wl_store_urgency {
 	WL_STORE_NOW, /* starts, dependent steps or the job's caller */
 	WL_STORE_SOON /* nothing: the change may be stored together with later ones */
