--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -23,12 +23,6 @@
 #define AGENT_TIMEOUT (3500 * NSEC_PER_MSEC)
 /* No tasks are started if the store last confirmed the term longer ago than this. */
 #define START_TERM_AGE_MAX (3 * NSEC_PER_SEC)
-/*
- * Margins on the longest lease of a run: for message delay, and, as a part of the lease, for a
- * worker whose clock runs up to 2% slow.
- */
-#define RUN_LEASE_MARGIN   (400 * NSEC_PER_MSEC)
-#define SLOW_CLOCK_DIVISOR 50 /* adds 1/50 of the lease */
 /*
  * The pause after a pass is this many times as long as the pass, within the limits. Renewing
  * leases and storing ends come first when the process is short of processor time.
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -224,5 +224,11 @@
  * wl_limits.silence_max, set in wl-coord.c.
  */
 #define AUTHORITY_MAX (4 * NSEC_PER_SEC)
+/*
+ * Margins on the longest lease of a run: for message delay, and, as a part of the lease, for a
+ * worker whose clock runs up to 2% slow.
+ */
+#define RUN_LEASE_MARGIN   (400 * NSEC_PER_MSEC)
+#define SLOW_CLOCK_DIVISOR 50 /* adds 1/50 of the lease */
 
 #endif
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -27,9 +27,6 @@
 #define UNANSWERED_RENEWALS_MAX 3
 /* A worker is lost at the earliest after this silence, however short its leases are. */
 #define LOST_SILENCE (4 * NSEC_PER_SEC)
-/* Margins on the end of a lease: messages, and a clock that is up to 2 % slow. */
-#define LEASE_MARGIN	   (400 * NSEC_PER_MSEC)
-#define SLOW_CLOCK_DIVISOR 50
 
 static void renew_and_list(struct wl_worker *w);
 
@@ -80,8 +77,9 @@
 	/* 0 after a change of the instance: the lease was that of the one before. */
 	if (w->clock_at != 0)
 		span += MAX(sent_at - w->clock_at, 0);
-	w->lease_end_at = MAX(w->lease_end_at,
-		sent_at + w->p->settings.lease_max + span / SLOW_CLOCK_DIVISOR + LEASE_MARGIN);
+	w->lease_end_at =
+		MAX(w->lease_end_at, sent_at + w->p->settings.lease_max +
+					     span / SLOW_CLOCK_DIVISOR + RUN_LEASE_MARGIN);
 }
 
 /* Switches to another instance of the worker; drops the starts pending at the previous one. */
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -185,12 +185,7 @@
 	struct fixture f;
 
 	fixture_init(&f);
-	for (unsigned int i = 0; i < 3; i++) {
-		char name[8];
-
-		snprintf(name, sizeof(name), "w%u", i);
-		report_worker(&f, name, NULL, 0, NULL, 0);
-	}
+	report_idle_workers(&f, 0, 3);
 	submit_job(&f, 1, "batch", 24, 1, 1000, false);
 	run_pass(&f);
 	CU_ASSERT_EQUAL(f.starts, 24);
@@ -222,12 +217,7 @@
 	struct fixture f;
 
 	fixture_init(&f);
-	for (unsigned int i = 0; i < 20; i++) {
-		char name[8];
-
-		snprintf(name, sizeof(name), "w%u", i);
-		report_worker(&f, name, NULL, 0, NULL, 0);
-	}
+	report_idle_workers(&f, 0, 20);
 	for (unsigned int i = 0; i < 10; i++)
 		submit_job(&f, 1 + i, "urgent", 1, 8, 1000, false);
 	run_pass(&f);
@@ -247,12 +237,7 @@
 	struct fixture f;
 
 	fixture_init(&f);
-	for (unsigned int i = 0; i < 10; i++) {
-		char name[8];
-
-		snprintf(name, sizeof(name), "w%u", i);
-		report_worker(&f, name, NULL, 0, NULL, 0);
-	}
+	report_idle_workers(&f, 0, 10);
 	submit_job(&f, 1, "batch", 3, 5, 5000, false);
 	run_pass(&f);
 	CU_ASSERT_EQUAL(f.starts, 3);
@@ -263,12 +248,7 @@
 	run_pass(&f);
 	CU_ASSERT_EQUAL(f.starts, 3);
 	f.now += 2 * SEC;
-	for (unsigned int i = 3; i < 10; i++) {
-		char name[8];
-
-		snprintf(name, sizeof(name), "w%u", i);
-		report_worker(&f, name, NULL, 0, NULL, 0);
-	}
+	report_idle_workers(&f, 3, 10);
 	for (unsigned int i = 0; i < 3; i++) {
 		char name[8];
 		char task[32];
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -33,12 +33,7 @@
 	struct fixture f;
 
 	fixture_init(&f);
-	for (unsigned int i = 0; i < 4; i++) {
-		char name[8];
-
-		snprintf(name, sizeof(name), "w%u", i);
-		report_worker(&f, name, NULL, 0, NULL, 0);
-	}
+	report_idle_workers(&f, 0, 4);
 	submit_job(&f, 1, "urgent", 1, 8, 1000, false);
 	run_pass(&f);
 	CU_ASSERT_EQUAL(f.starts, 1);
--- a/tests/unit/workload-fixture.c
+++ b/tests/unit/workload-fixture.c
@@ -138,6 +138,16 @@
 	wl_node_report(f->wl, f->now, f->now, &r);
 }
 
+void report_idle_workers(struct fixture *f, unsigned int from, unsigned int to)
+{
+	for (unsigned int i = from; i < to; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "w%u", i);
+		report_worker(f, name, NULL, 0, NULL, 0);
+	}
+}
+
 void submit_job(struct fixture *f, unsigned int number, const char *queue, uint32_t count,
 	uint32_t accelerators, uint32_t estimate_ms, bool gang)
 {
--- a/tests/unit/workload-fixture.h
+++ b/tests/unit/workload-fixture.h
@@ -34,6 +34,8 @@
 /* Reports a worker with 8 accelerators; runs and ends may be NULL. */
 void report_worker(struct fixture *f, const char *node, struct wl_run *runs, uint32_t runs_len,
 	struct wl_ended *ends, uint32_t ends_len);
+/* Reports workers without runs: w<from> to w<to - 1>. */
+void report_idle_workers(struct fixture *f, unsigned int from, unsigned int to);
 /* Submits a job of one step; its id is the number in hexadecimal digits. */
 void submit_job(struct fixture *f, unsigned int number, const char *queue, uint32_t count,
 	uint32_t accelerators, uint32_t estimate_ms, bool gang);
