--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -14,7 +14,8 @@
  *   {"cmd":"unhealthy","worker":W,"on":B}    the worker answers starts with 503 and does nothing
  *   {"cmd":"dump"}                       running work, counts and what was seen of broken rules
  *
- * The text of a job ("spec") is "MILLISECONDS GPUS [LABEL]" of each of its work items.
+ * The text of a job ("spec") is "MILLISECONDS GPUS [LABEL] [FAILS]" of each of its work items; the
+ * first FAILS runs of a work item end as failed. The label "-" stands for none.
  *
  * platform RECORD STORE-ADDR WORKER=APP-ADDR,CONTROL-ADDR,GPUS,LABEL ...
  */
@@ -64,7 +65,7 @@
 	char task[96];
 	long attempt;
 	int64_t began, duration, stop_at;
-	long gpu;
+	long gpu, fails;
 	char label[32];
 };
 struct worker {
@@ -92,7 +93,7 @@
 static int workers_n;
 static char lose_key[128];
 static int lose_count, lose_late_ms;
-static json_t *broken, *starts, *done_acked;
+static json_t *broken, *starts, *done_acked, *failed; /* failed: runs of a task that failed */
 static long config_ack_ms;
 static FILE *record;
 static int64_t t0;
@@ -475,6 +476,9 @@
 	reject(w, r.task, r.attempt);
 	json_array_append_new(w->finished, json_pack("[I,s,I,s,s]", (json_int_t)++w->last_end,
 						   r.task, (json_int_t)r.attempt, how, ""));
+	if (strcmp(how, "failed") == 0)
+		json_object_set_new(failed, r.task,
+			json_integer(json_integer_value(json_object_get(failed, r.task)) + 1));
 	note("%s END %s attempt %ld %s", w->name, r.task, r.attempt, how);
 	w->runs[i] = w->runs[--w->runs_n];
 	pthread_cond_broadcast(&changed);
@@ -501,7 +505,7 @@
 	if (used > w->gpu)
 		breaks("LIMIT: %s attempt %ld brings %s to %ld of %ld gpu", r->task, r->attempt,
 			w->name, used, w->gpu);
-	for (int i = 0; r->label[0] != '\0' && i <= w->labels_n; i++) {
+	for (int i = 0; r->label[0] != '\0' && r->label[0] != '-' && i <= w->labels_n; i++) {
 		if (i == w->labels_n)
 			breaks("ROUTE: %s starts on %s, which lacks the label %s", r->task, w->name,
 				r->label);
@@ -577,8 +581,10 @@
 			return 409;
 		}
 		snprintf(r.task, sizeof(r.task), "%s", task);
-		sscanf(json_string_value(json_object_get(in, "spec")), "%ld %ld %31s", &r.duration,
-			&r.gpu, r.label);
+		sscanf(json_string_value(json_object_get(in, "spec")), "%ld %ld %31s %ld",
+			&r.duration, &r.gpu, r.label, &r.fails);
+		/* What was failed before counts against FAILS. */
+		r.fails -= (long)json_integer_value(json_object_get(failed, task));
 		check_start(w, &r);
 		take_deadline(w, in);
 		if (w->runs_n == MAX_RUNS)
@@ -933,7 +939,7 @@
 			else if (r->stop_at != 0 && now_ms() >= r->stop_at)
 				run_end(w, i - 1, "stopped");
 			else if (now_ms() - r->began >= r->duration)
-				run_end(w, i - 1, "done");
+				run_end(w, i - 1, r->fails > 0 ? "failed" : "done");
 		}
 		if (w->up && (now_ms() >= next || w->sequence == 0)) {
 			next = now_ms() + BEAT_MS;
@@ -1110,6 +1116,7 @@
 	broken = json_array();
 	starts = json_object();
 	done_acked = json_object();
+	failed = json_object();
 	for (int i = 3; i < argc && workers_n < MAX_WORKERS; i++) {
 		struct worker *w = &workers[workers_n++];
 
