--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -9,7 +9,8 @@
  *         the next C transactions that write or remove a key that begins with K are not answered;
  *         they are done at once (N = 0) or N ms later, if their condition holds then
  *   {"cmd":"leave","worker":W,"down_ms":N}   the worker drains and leaves; the next one comes
- *   {"cmd":"crash","worker":W,"down_ms":N,"gpu":G,"labels":[..]}  it crashes; the next one comes
+ *   {"cmd":"crash","worker":W,"down_ms":N,"gpu":G,"labels":[..],"same_id":B}  it crashes;
+ *         the next one comes, of another kind and under the same id if that is said
  *   {"cmd":"delay_beat","worker":W,"ms":N}   the worker's next status report arrives N ms late
  *   {"cmd":"unhealthy","worker":W,"on":B}    the worker answers starts with 503 and does nothing
  *   {"cmd":"dump"}                       running work, counts and what was seen of broken rules
@@ -73,8 +74,8 @@
 	int labels_n;
 	long gpu, sequence, fence, last_end;
 	int64_t born_wall, born, lease_until; /* lease_until on the worker's clock */
-	bool up, draining, unhealthy;
-	int life, delay_beat_ms;
+	bool up, draining, unhealthy, keep_id;
+	int life, id_number, delay_beat_ms; /* the number in its id, which may be that of an earlier life */
 	struct run runs[MAX_RUNS];
 	int runs_n;
 	json_t *finished, *rejects; /* rejects: task -> highest attempt stopped or ended */
@@ -910,7 +911,10 @@
 	w->life++;
 	w->born = now_ms();
 	w->born_wall = wall_ms();
-	snprintf(w->id, sizeof(w->id), "i-%s-%d", w->name, w->life);
+	if (!w->keep_id)
+		w->id_number++;
+	w->keep_id = false;
+	snprintf(w->id, sizeof(w->id), "i-%s-%d", w->name, w->id_number);
 	w->sequence = w->fence = w->last_end = 0;
 	w->lease_until = 0;
 	w->runs_n = 0;
@@ -1051,6 +1055,7 @@
 
 		c->w = w;
 		c->planned = cmd[0] == 'l';
+		w->keep_id = json_is_true(json_object_get(in, "same_id"));
 		c->down_ms = (int)json_integer_value(json_object_get(in, "down_ms"));
 		if (json_object_get(in, "gpu") != NULL)
 			w->gpu = (long)json_integer_value(json_object_get(in, "gpu"));
