--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -1,24 +1,26 @@
 /*
- * A stand-in of the users' platform for the cases of this review: the metadata store, the operator
- * and the workers, in one process, on loopback addresses and the real clock. It does what
- * PROTOCOL.md says of them, and the disruptions that a case orders by POST /control on the store's
- * address:
+ * A stand-in of the users' platform for the cases of this review: the metadata store, the
+ * operator and the workers, in one process, on loopback addresses and the real clock. It does
+ * what PROTOCOL.md says of them, and the disruptions that a case orders by POST /control on the
+ * store's address:
  *
  *   {"cmd":"config","file":F}            the operator writes op/config
  *   {"cmd":"lose","key":K,"late_ms":N,"count":C}
- *         the next C transactions that write or remove a key that begins with K are not answered;
- *         they are done at once (N = 0) or N ms later, if their condition holds then
+ *         the next C transactions that write or remove a key that begins with K are not
+ * answered; they are done at once (N = 0) or N ms later, if their condition holds then
  *   {"cmd":"leave","worker":W,"down_ms":N}   the worker drains and leaves; the next one comes
  *   {"cmd":"crash","worker":W,"down_ms":N,"gpu":G,"labels":[..],"same_id":B}  it crashes;
  *         the next one comes, of another kind and under the same id if that is said
  *   {"cmd":"delay_beat","worker":W,"ms":N}   the worker's next status report arrives N ms late
- *   {"cmd":"unhealthy","worker":W,"on":B}    the worker answers starts with 503 and does nothing
- *   {"cmd":"overload","worker":W,"late_ms":N,"ms":M}  the worker leaves its next start unanswered
- *         and carries it out N ms later; the starts in the M ms after it are answered with 503
+ *   {"cmd":"unhealthy","worker":W,"on":B}    the worker answers starts with 503 and does
+ * nothing
+ *   {"cmd":"overload","worker":W,"late_ms":N,"ms":M}  the worker leaves its next start
+ * unanswered and carries it out N ms later; the starts in the M ms after it are answered with
+ * 503
  *   {"cmd":"dump"}                       running work, counts and what was seen of broken rules
  *
- * The text of a job ("spec") is "MILLISECONDS GPUS [LABEL] [FAILS]" of each of its work items; the
- * first FAILS runs of a work item end as failed. The label "-" stands for none.
+ * The text of a job ("spec") is "MILLISECONDS GPUS [LABEL] [FAILS]" of each of its work items;
+ * the first FAILS runs of a work item end as failed. The label "-" stands for none.
  *
  * platform RECORD STORE-ADDR WORKER=APP-ADDR,CONTROL-ADDR,GPUS,LABEL ...
  */
@@ -38,17 +40,17 @@
 #include <time.h>
 #include <unistd.h>
 
-#define BEAT_MS	      1500 /* heartbeat_interval_ms */
-#define HOLD_MAX_MS   6000 /* max_hold_ms */
-#define STOP_MS	      100  /* a stop takes this long; stop_timeout_ms is 400 */
-#define DRAIN_MS      2100 /* drain_timeout_ms is 2000 */
-#define PAGE	      500
-#define MAX_ITEMS     4096
-#define MAX_EVENTS    65536
-#define MAX_LEASES    1024
-#define MAX_RUNS      256
-#define MAX_WORKERS   16
-#define NO_ANSWER     (-1)
+#define BEAT_MS	    1500 /* heartbeat_interval_ms */
+#define HOLD_MAX_MS 6000 /* max_hold_ms */
+#define STOP_MS	    100	 /* a stop takes this long; stop_timeout_ms is 400 */
+#define DRAIN_MS    2100 /* drain_timeout_ms is 2000 */
+#define PAGE	    500
+#define MAX_ITEMS   4096
+#define MAX_EVENTS  65536
+#define MAX_LEASES  1024
+#define MAX_RUNS    256
+#define MAX_WORKERS 16
+#define NO_ANSWER   (-1)
 
 struct item {
 	char *key;
@@ -79,7 +81,8 @@
 	int64_t busy_until;
 	int64_t born_wall, born, lease_until; /* lease_until on the worker's clock */
 	bool up, draining, unhealthy, keep_id;
-	int life, id_number, delay_beat_ms; /* the number in its id, which may be that of an earlier life */
+	int life, id_number,
+		delay_beat_ms; /* the number in its id, which may be that of an earlier life */
 	struct run runs[MAX_RUNS];
 	int runs_n;
 	json_t *finished, *rejects; /* rejects: task -> highest attempt stopped or ended */
@@ -193,8 +196,8 @@
 static json_t *item_json(const char *key, const char *value, long rev, long created, long lease)
 {
 	if (value == NULL)
-		return json_pack("{s:s,s:I,s:b}", "key", key, "revision", (json_int_t)rev,
-			"deleted", 1);
+		return json_pack(
+			"{s:s,s:I,s:b}", "key", key, "revision", (json_int_t)rev, "deleted", 1);
 	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", key, "value", value, "revision",
 		(json_int_t)rev, "created", (json_int_t)created, "lease", (json_int_t)lease);
 }
@@ -239,8 +242,9 @@
 		holds = holds && json_integer_value(json_object_get(e, "revision")) ==
 					 (it != NULL ? it->rev : 0);
 		json_array_append_new(seen,
-			it != NULL ? item_json(it->key, it->value, it->rev, it->created, it->lease)
-				   : json_pack("{s:s,s:i}", "key", key, "revision", 0));
+			it != NULL
+				? item_json(it->key, it->value, it->rev, it->created, it->lease)
+				: json_pack("{s:s,s:i}", "key", key, "revision", 0));
 	}
 	if (!holds) {
 		*out = json_pack("{s:o}", "items", seen);
@@ -257,10 +261,12 @@
 	}
 	if (json_array_size(write) + json_array_size(removed) > 0)
 		revision++;
-	json_array_foreach((json_t *)write, i, e) put(json_string_value(json_object_get(e, "key")),
-		json_string_value(json_object_get(e, "value")),
-		(long)json_integer_value(json_object_get(e, "lease")));
-	json_array_foreach((json_t *)removed, i, e) drop(json_string_value(e));
+	json_array_foreach((json_t *)write, i, e)
+		put(json_string_value(json_object_get(e, "key")),
+			json_string_value(json_object_get(e, "value")),
+			(long)json_integer_value(json_object_get(e, "lease")));
+	json_array_foreach((json_t *)removed, i, e)
+		drop(json_string_value(e));
 	pthread_cond_broadcast(&changed);
 	*out = json_pack("{s:I}", "revision", (json_int_t)revision);
 	return 200;
@@ -359,8 +365,8 @@
 	return buf;
 }
 
-static int store_call(const char *method, const char *path, const char *q, const json_t *in,
-	json_t **out)
+static int store_call(
+	const char *method, const char *path, const char *q, const json_t *in, json_t **out)
 {
 	char a[512], b[512];
 	const char *call = strncmp(path, "/v1/", 4) == 0 ? path + 4 : path;
@@ -372,8 +378,9 @@
 	if (strcmp(call, "kv-key") == 0) {
 		const struct item *it = find(query(q, "key", a, sizeof(a)));
 
-		*out = it == NULL ? json_object()
-				  : item_json(it->key, it->value, it->rev, it->created, it->lease);
+		*out = it == NULL
+			       ? json_object()
+			       : item_json(it->key, it->value, it->rev, it->created, it->lease);
 		json_object_set_new(*out, "at", json_integer(revision));
 		return it == NULL ? 404 : 200;
 	}
@@ -385,7 +392,8 @@
 		query(q, "after", b, sizeof(b));
 		qsort(items, (size_t)items_n, sizeof(items[0]), by_key);
 		for (int i = 0; i < items_n && !more; i++) {
-			if (strncmp(items[i].key, a, strlen(a)) != 0 || strcmp(items[i].key, b) <= 0)
+			if (strncmp(items[i].key, a, strlen(a)) != 0 ||
+				strcmp(items[i].key, b) <= 0)
 				continue;
 			if (json_array_size(list) == PAGE)
 				more = true;
@@ -408,10 +416,10 @@
 			for (int i = 0; i < events_n; i++)
 				if (events[i].rev > after &&
 					strncmp(events[i].key, a, strlen(a)) == 0)
-					json_array_append_new(list,
-						item_json(events[i].key, events[i].value,
-							events[i].rev, events[i].created,
-							events[i].lease));
+					json_array_append_new(
+						list, item_json(events[i].key, events[i].value,
+							      events[i].rev, events[i].created,
+							      events[i].lease));
 			if (json_array_size(list) > 0 || now_ms() >= until)
 				break;
 			wait_until(until);
@@ -425,7 +433,8 @@
 			struct late *l = calloc(1, sizeof(*l));
 
 			lose_count--;
-			note("store loses the answer of a transaction on %s; it is done %d ms later",
+			note("store loses the answer of a transaction on %s; it is done %d ms "
+			     "later",
 				hit, lose_late_ms);
 			*l = (struct late){json_deep_copy(in), lose_late_ms, strdup(hit)};
 			spawn(late_txn, l);
@@ -441,8 +450,8 @@
 		l->id = next_lease++;
 		l->ttl = (long)json_integer_value(json_object_get(in, "ttl_ms"));
 		l->until = now_ms() + l->ttl;
-		*out = json_pack("{s:I,s:I}", "lease", (json_int_t)l->id, "ttl_ms",
-			(json_int_t)l->ttl);
+		*out = json_pack(
+			"{s:I,s:I}", "lease", (json_int_t)l->id, "ttl_ms", (json_int_t)l->ttl);
 		return 200;
 	}
 	if (strncmp(call, "kv-keep/", 8) == 0 || strncmp(call, "kv-lease-end/", 13) == 0) {
@@ -495,14 +504,17 @@
 	long used = r->gpu;
 
 	if (json_object_get(done_acked, r->task) != NULL)
-		breaks("TWICE: %s starts on %s after its end was taken note of", r->task, w->name);
+		breaks("TWICE: %s starts on %s after its end was taken note of", r->task,
+			w->name);
 	for (int i = 0; i < workers_n; i++) {
 		for (int k = 0; k < workers[i].runs_n; k++) {
 			const struct run *o = &workers[i].runs[k];
 
 			if (workers[i].up && strcmp(o->task, r->task) == 0)
-				breaks("TWICE: %s attempt %ld starts on %s while attempt %ld runs on %s",
-					r->task, r->attempt, w->name, o->attempt, workers[i].name);
+				breaks("TWICE: %s attempt %ld starts on %s while attempt %ld "
+				       "runs on %s",
+					r->task, r->attempt, w->name, o->attempt,
+					workers[i].name);
 			if (&workers[i] == w)
 				used += o->gpu;
 		}
@@ -512,15 +524,15 @@
 			w->name, used, w->gpu);
 	for (int i = 0; r->label[0] != '\0' && r->label[0] != '-' && i <= w->labels_n; i++) {
 		if (i == w->labels_n)
-			breaks("ROUTE: %s starts on %s, which lacks the label %s", r->task, w->name,
-				r->label);
+			breaks("ROUTE: %s starts on %s, which lacks the label %s", r->task,
+				w->name, r->label);
 		else if (strcmp(w->labels[i], r->label) == 0)
 			break;
 	}
 }
 
-static int worker_call(struct worker *w, const char *path, const char *instance, const json_t *in,
-	json_t **out);
+static int worker_call(struct worker *w, const char *path, const char *instance,
+	const json_t *in, json_t **out);
 
 struct late_start {
 	struct worker *w;
@@ -575,8 +587,8 @@
 		w->lease_until = d;
 }
 
-static int worker_call(struct worker *w, const char *path, const char *instance, const json_t *in,
-	json_t **out)
+static int worker_call(struct worker *w, const char *path, const char *instance,
+	const json_t *in, json_t **out)
 {
 	long fence = (long)json_integer_value(json_object_get(in, "fencing_token"));
 	const char *task = json_string_value(json_object_get(in, "task"));
@@ -598,7 +610,8 @@
 		struct run r = {.attempt = attempt, .began = now_ms()};
 
 		for (int i = 0; i < w->runs_n; i++) {
-			if (strcmp(w->runs[i].task, task) == 0 && w->runs[i].attempt == attempt) {
+			if (strcmp(w->runs[i].task, task) == 0 &&
+				w->runs[i].attempt == attempt) {
 				*out = worker_body(w);
 				return 200;
 			}
@@ -617,7 +630,8 @@
 			return NO_ANSWER;
 		}
 		if (w->unhealthy || now_ms() < w->busy_until) {
-			note("%s answers 503 to the start of %s attempt %ld", w->name, task, attempt);
+			note("%s answers 503 to the start of %s attempt %ld", w->name, task,
+				attempt);
 			*out = worker_body(w);
 			return 503;
 		}
@@ -649,8 +663,8 @@
 	if (strcmp(path, "/v1/run-stop") == 0) {
 		reject(w, task, attempt);
 		for (int i = 0; i < w->runs_n; i++)
-			if (strcmp(w->runs[i].task, task) == 0 && w->runs[i].attempt <= attempt &&
-				w->runs[i].stop_at == 0)
+			if (strcmp(w->runs[i].task, task) == 0 &&
+				w->runs[i].attempt <= attempt && w->runs[i].stop_at == 0)
 				w->runs[i].stop_at = now_ms() + STOP_MS;
 		note("%s STOP %s attempt %ld", w->name, task, attempt);
 		*out = worker_body(w);
@@ -815,9 +829,11 @@
 			goto out;
 		}
 		snprintf(head, sizeof(head),
-			"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+			"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: "
+			"%zu\r\n\r\n",
 			status, strlen(text));
-		if (!send_all(c->fd, head, strlen(head)) || !send_all(c->fd, text, strlen(text))) {
+		if (!send_all(c->fd, head, strlen(head)) ||
+			!send_all(c->fd, text, strlen(text))) {
 			free(text);
 			goto out;
 		}
@@ -902,12 +918,12 @@
 
 	for (int i = 0; i < w->labels_n; i++)
 		json_array_append_new(labels, json_string(w->labels[i]));
-	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:o,s:I,s:I,s:I}", "service",
-		"proofing", "address", w->app, "zone", "z1", "version", "v1", "slots", 8, "state",
-		w->draining ? "draining" : "ready", "cold_remaining_ms", 0, "capacity", "cpu", 32000,
-		"task_memory_mb", 64000, "gpu", (int)w->gpu, "labels", labels, "clock_ms",
-		(json_int_t)worker_clock(w), "sequence", (json_int_t)++w->sequence, "born",
-		(json_int_t)w->born_wall);
+	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:o,s:I,s:I,s:I}",
+		"service", "proofing", "address", w->app, "zone", "z1", "version", "v1",
+		"slots", 8, "state", w->draining ? "draining" : "ready", "cold_remaining_ms", 0,
+		"capacity", "cpu", 32000, "task_memory_mb", 64000, "gpu", (int)w->gpu, "labels",
+		labels, "clock_ms", (json_int_t)worker_clock(w), "sequence",
+		(json_int_t)++w->sequence, "born", (json_int_t)w->born_wall);
 	if (w->draining)
 		json_object_set_new(o, "drain_remaining_ms", json_integer(DRAIN_MS));
 	text = json_dumps(o, JSON_COMPACT);
@@ -930,8 +946,8 @@
 	status = call_agent(b->control, "PUT", b->path, b->body);
 	pthread_mutex_lock(&lock);
 	if (b->delay_ms > 0)
-		note("%s status report that was %d ms under way: %d %s %s", b->name, b->delay_ms,
-			status, b->path, b->body);
+		note("%s status report that was %d ms under way: %d %s %s", b->name,
+			b->delay_ms, status, b->path, b->body);
 	pthread_mutex_unlock(&lock);
 	free(b->body);
 	free(b);
@@ -1079,8 +1095,8 @@
 		if (strcmp(workers[i].name, name) == 0)
 			w = &workers[i];
 	if (strcmp(cmd, "config") == 0) {
-		json_t *file = json_load_file(
-			json_string_value(json_object_get(in, "file")), 0, NULL);
+		json_t *file =
+			json_load_file(json_string_value(json_object_get(in, "file")), 0, NULL);
 		char *text = json_dumps(file, JSON_COMPACT);
 		char *value = base64(text, strlen(text));
 
@@ -1177,8 +1193,8 @@
 	for (int i = 3; i < argc && workers_n < MAX_WORKERS; i++) {
 		struct worker *w = &workers[workers_n++];
 
-		if (sscanf(argv[i], "%31[^=]=%63[^,],%63[^,],%ld,%31s", w->name, w->app, w->control,
-			    &w->gpu, w->labels[0]) != 5)
+		if (sscanf(argv[i], "%31[^=]=%63[^,],%63[^,],%ld,%31s", w->name, w->app,
+			    w->control, &w->gpu, w->labels[0]) != 5)
 			return 2;
 		snprintf(w->labels[1], sizeof(w->labels[1]), "r1-1");
 		w->labels_n = 2;
