workload, agent: log runs that are doubled and workers that are overbooked

When a task ran twice, the logs named both runs but not on what ground the first was given up, so the hypotheses of docs/incidents/tasks-run-twice.md could not be told apart. A task now remembers why its last run was released; run-doubled tells it when a run, or the end of one, is listed by another node than the task's. start-refused tells of a refusal after a send without an answer, worker-overbooked whether a run that nobody counted or a smaller capacity is the cause. Counters: damaskpath_runs_doubled_total, damaskpath_workers_overbooked_total. No decision changes.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -42,6 +42,13 @@
 EVENT(EV_TASK_RUN, "task-run", "task attempt node answer", "a worker answered a start")
 EVENT(EV_START_UNSURE, "start-unsure", "task attempt sends again",
 	"a worker did not answer a start")
+EVENT(EV_START_REFUSED, "start-refused", "task attempt sends answer",
+	"a worker refused a start of which an earlier send had no answer")
+EVENT(EV_RUN_DOUBLED, "run-doubled", "task attempt node current_attempt current_node released",
+	"a task runs on two workers; the first run was given up for the reason released")
+EVENT(EV_WORKER_OVERBOOKED, "worker-overbooked",
+	"node life orphans accelerators free accelerators_before",
+	"the runs of a worker need more than its capacity")
 EVENT(EV_TASK_END, "task-end", "task attempt node how saved", "a run has ended")
 EVENT(EV_TASK_STOP, "task-stop", "task attempt node why for", "a run is stopped")
 EVENT(EV_TASK_PACE, "task-pace", "task node percent why", "a filler is slowed or released")
--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -200,6 +200,7 @@
 	int64_t deadline = worker_lease_deadline(w);
 	bool again = s->sends_used < ORDER_SENDS_MAX && deadline != 0 && s->term == w->term;
 
+	s->unanswered = true;
 	counter_add(&starts_unanswered, 1);
 	/* After an order to stop the run, sends= may be too high: see sends_used. */
 	event_log(EV_START_UNSURE, "task=%s attempt=%u sends=%u again=%d", s->task, s->attempt,
@@ -240,6 +241,10 @@
 		s->outcome_unknown = true;
 		s->voided_at = worker_now(w);
 	} else {
+		if (r.kind != PF_REPLY_OK && s->unanswered)
+			event_log(EV_START_REFUSED, "task=%s attempt=%u sends=%u answer=%s",
+				s->task, s->attempt, s->sends_used,
+				wl_answer_name(start_answer(r.kind)));
 		resolve_start(w, s, start_answer(r.kind));
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->events.fenced(w->events.arg);
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -30,6 +30,7 @@
 	 * void the start.
 	 */
 	int64_t last_try_at;
+	bool unanswered;      /* a send has had no answer */
 	bool outcome_unknown; /* to be found out from the worker's lists */
 	bool call_pending;
 	/*
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -27,6 +27,11 @@
 /* The stop order for an orphaned run is repeated after this. */
 #define ORPHAN_STOP_INTERVAL NSEC_PER_SEC
 
+COUNTER(runs_doubled, "damaskpath_runs_doubled_total",
+	"Runs found on a worker while their task had a run on another.");
+COUNTER(workers_overbooked, "damaskpath_workers_overbooked_total",
+	"Times that the runs of a worker came to need more than its capacity.");
+
 static void orphan_free(void *arg)
 {
 	struct wl_orphan *o = arg;
@@ -110,7 +115,7 @@
 	while ((t = TAILQ_FIRST(&n->tasks)) != NULL) {
 		struct wl_unit *u = t->unit;
 
-		task_detach(t, now);
+		task_detach(t, now, why);
 		lost++;
 		if (u->step->gang && !u->is_done)
 			unit_stop(u, now, "a gang member was lost", NULL);
@@ -236,6 +241,39 @@
 	n->drain_until = now + (int64_t)r->leaves_in_ms * NSEC_PER_MSEC;
 }
 
+/* The orphan of a node for an attempt of a task, or NULL. */
+static struct wl_orphan *orphan_find(
+	const GPtrArray *orphans, const char *task, uint32_t attempt)
+{
+	for (guint i = 0; i < orphans->len; i++) {
+		struct wl_orphan *o = orphans->pdata[i];
+
+		if (o->attempt == attempt && strcmp(o->task, task) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+/*
+ * Logs a run on a node, or the end of one, while its task has a run on another node, and why
+ * the run on this one was given up. A run that is known as an orphan has been logged.
+ */
+static void check_doubled(struct wl_node *n, const struct wl_task *t, const char *task,
+	uint32_t attempt, const GPtrArray *orphans)
+{
+	bool known;
+
+	if (t == NULL || t->node == NULL || t->node == n ||
+		orphan_find(orphans, task, attempt) != NULL)
+		return;
+	known = t->released_why != NULL && t->released_attempt == attempt;
+	counter_add(&runs_doubled, 1);
+	event_log(EV_RUN_DOUBLED,
+		"task=%s attempt=%u node=%s current_attempt=%u current_node=%s released=\"%s\"",
+		task, attempt, n->name, t->attempt, t->node->name,
+		known ? t->released_why : "unknown");
+}
+
 /*
  * Handles the finished runs that have not been seen before. Each is acknowledged once the job
  * version that includes it is stored.
@@ -249,6 +287,8 @@
 
 		if (pending.number <= n->last_end_processed)
 			continue;
+		t = job_task(n->wl, r->ends[i].task, now);
+		check_doubled(n, t, r->ends[i].task, r->ends[i].attempt, n->orphans);
 		wl_run_ended(n->wl, n, now, wall, &r->ends[i]);
 		n->last_end_processed = pending.number;
 		t = job_task(n->wl, r->ends[i].task, now);
@@ -283,18 +323,17 @@
 	const struct wl_task *t, GPtrArray *previous)
 {
 	struct wl_orphan *orphan = xcalloc(1, sizeof(*orphan));
+	const struct wl_orphan *known;
 	struct wl_stop_order order;
 
 	orphan->task = xstrdup(r->task);
 	orphan->attempt = r->attempt;
 	/* The size of an unknown task is unknown too: assume that it fills the worker. */
 	orphan->need = t != NULL ? task_need(t->unit->step) : n->capacity;
-	for (guint i = 0; i < previous->len; i++) {
-		const struct wl_orphan *p = previous->pdata[i];
-
-		if (strcmp(p->task, orphan->task) == 0 && p->attempt == orphan->attempt)
-			orphan->stop_sent = p->stop_sent;
-	}
+	known = orphan_find(previous, orphan->task, orphan->attempt);
+	if (known != NULL)
+		orphan->stop_sent = known->stop_sent;
+	check_doubled(n, t, orphan->task, orphan->attempt, previous);
 	g_ptr_array_add(n->orphans, orphan);
 	if (orphan->stop_sent != 0 && now - orphan->stop_sent < ORPHAN_STOP_INTERVAL)
 		return;
@@ -385,7 +424,7 @@
 				"task=%s.%u.%u.%u attempt=%u node=%s how=missing",
 				u->job->spec.id, u->occurrence, u->step_index, t->index,
 				t->attempt, n->name);
-			task_detach(t, now);
+			task_detach(t, now, "missing");
 			if (u->step->gang && !u->is_done) {
 				unit_stop(u, now, "a gang member is missing", NULL);
 				next = TAILQ_FIRST(&n->tasks);
@@ -395,6 +434,37 @@
 	}
 }
 
+/*
+ * Logs when the runs of a worker come to need more than its capacity: a run that was not
+ * counted has shown up, or the capacity has shrunk.
+ */
+static void check_overbooked(struct wl_node *n, const struct wl_resources *before)
+{
+	struct wl_available left = {.cores_m = n->capacity.cores_m,
+		.memory_mb = n->capacity.memory_mb,
+		.accelerators = n->capacity.accelerators};
+	const struct wl_resources none = {0};
+	struct wl_task *t;
+	bool was = n->overbooked;
+
+	TAILQ_FOREACH(t, &n->tasks, on_node) {
+		struct wl_resources need = task_need(t->unit->step);
+
+		resources_deduct(&left, &need);
+	}
+	for (guint i = 0; i < n->orphans->len; i++)
+		resources_deduct(&left, &((struct wl_orphan *)n->orphans->pdata[i])->need);
+	n->overbooked = !resources_fit(&left, &none);
+	if (!n->overbooked || was)
+		return;
+	counter_add(&workers_overbooked, 1);
+	event_log(EV_WORKER_OVERBOOKED,
+		"node=%s life=%s orphans=%u accelerators=%u free=%" PRId64
+		" accelerators_before=%u cores_m_before=%u cores_m=%u",
+		n->name, n->instance_id, n->orphans->len, n->capacity.accelerators,
+		left.accelerators, before->accelerators, before->cores_m, n->capacity.cores_m);
+}
+
 /* Handles a report, which holds the complete state and lists of a worker. */
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r)
 {
@@ -420,6 +490,7 @@
 	reconcile_runs(n, now, r);
 	node_release_unconfirmed(n, now);
 	handle_missing_runs(n, now, r);
+	check_overbooked(n, &capacity);
 	if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
 		node_drop_runs(n, now, "the worker has left");
 	if (node_usable(n, now) != was_usable ||
@@ -510,7 +581,7 @@
 		task_confirm_running(t, now);
 		return;
 	}
-	task_detach(t, now);
+	task_detach(t, now, wl_answer_name(a->answer));
 	t->avoid_node = n;
 	switch (a->answer) {
 	case WL_ANSWER_UNHEALTHY:
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -73,6 +73,9 @@
 	int64_t running_at;
 	int64_t stop_sent;
 	int64_t waiting_since;
+	/* Why the last run was given up, and its attempt; for the log. */
+	const char *released_why;
+	uint32_t released_attempt;
 	uint64_t ordinal;     /* wl_start.ordinal of the last start */
 	uint64_t seen_serial; /* number of the last report that listed the run */
 	uint32_t percent;
@@ -249,6 +252,7 @@
 	/* In wl.unacked_nodes: the node has pending ends. */
 	bool unacked;
 	GPtrArray *orphans;
+	bool overbooked; /* its runs need more than the capacity that it last reported */
 	struct wl_available free;	      /* unallocated; recomputed by each pass */
 	struct wl_available free_after_stops; /* free, plus what is being stopped */
 	bool usable;			      /* accepts new tasks in this pass */
@@ -330,7 +334,7 @@
 
 /* wl-run.c */
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt);
-void task_detach(struct wl_task *t, int64_t now);
+void task_detach(struct wl_task *t, int64_t now, const char *why);
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *beneficiary);
 void task_cancel_start(struct wl_task *t, int64_t now);
 void task_confirm_running(struct wl_task *t, int64_t now);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -41,12 +41,14 @@
 
 /*
  * Removes a task from its node after the run has ended or if it never started. The task waits
- * again unless it is done.
+ * again unless it is done. why must be a constant string.
  */
-void task_detach(struct wl_task *t, int64_t now)
+void task_detach(struct wl_task *t, int64_t now, const char *why)
 {
 	if (t->node != NULL)
 		TAILQ_REMOVE(&t->node->tasks, t, on_node);
+	t->released_why = why;
+	t->released_attempt = t->attempt;
 	t->node = NULL;
 	t->unit->job->wl->changed = true;
 	t->percent = 0;
@@ -69,7 +71,7 @@
 void task_release_unconfirmed(struct wl_task *t, int64_t now)
 {
 	if (t->phase == TASK_UNCONFIRMED)
-		task_detach(t, now);
+		task_detach(t, now, "not reported after a takeover");
 }
 
 /*
@@ -110,7 +112,7 @@
 
 	if (t->phase == TASK_PLACED) {
 		/* The start order has not been sent, so there is no run to stop. */
-		task_detach(t, now);
+		task_detach(t, now, "not started");
 		return;
 	}
 	if (t->node == NULL || (t->stop_sent != 0 && now - t->stop_sent < STOP_RETRY_INTERVAL &&
@@ -338,7 +340,7 @@
 		e->attempt, n->name, wl_end_name(e->how), e->checkpoint ? e->checkpoint : "");
 	if (t == NULL || wl_state_ended(t->unit->job->state)) {
 		if (t != NULL && t->node == n && t->attempt == e->attempt)
-			task_detach(t, now);
+			task_detach(t, now, "ended");
 		return;
 	}
 	current = t->node == n && t->attempt == e->attempt;
@@ -353,12 +355,12 @@
 				speed_record(n, t->unit, now - t->running_at);
 		}
 		if (current)
-			task_detach(t, now);
+			task_detach(t, now, "ended");
 		attempt_succeeded(t, now, wall);
 		return;
 	}
 	if (current) {
-		task_detach(t, now);
+		task_detach(t, now, "ended");
 		save_checkpoint(t, e->checkpoint);
 		if (*t->checkpoint != '\0')
 			job_request_store(t->unit->job, WL_STORE_SOON);
