regress: a start without an answer that is refused when it is sent again

Reproduces the first matter of the users' incident on the stand-in: the first send of a start gets no answer, its repetition is refused (503, 429, no room, another instance), and the first send is carried out 2.5 s later, or has been carried out at once.

--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -29,6 +29,8 @@
  * with 500 without carrying them out, until "gone" names another or none
  *   {"late_orders":2}    the next 2 starts are answered with 500 and carried out later
  *   {"lost_starts":1}    the next start is carried out and never answered
+ *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
+ *                        with "refuse_status" (503) and "refuse_reason", and not carried out
  *   {"lost_holds":1}     the next lease renewal is carried out and never answered
  *
  * The answer to POST /control has the number of calls to the store ("calls") and of starts on
@@ -118,6 +120,9 @@
 static json_int_t txn_answers_to_drop;
 static json_int_t starts_to_delay;
 static json_int_t start_answers_to_drop;
+static json_int_t starts_to_refuse;
+static int refuse_status;
+static char *refuse_reason;
 static json_int_t renewal_answers_to_drop;
 static GPtrArray *delayed_starts;
 /* Records for the checks of tests. */
@@ -428,6 +433,19 @@
 	down = is_down;
 }
 
+/* Has the next starts refused, if a call asks for that. */
+static void set_refusals(const json_t *in)
+{
+	const json_t *status = json_object_get(in, "refuse_status");
+
+	if (json_object_get(in, "refuse_starts") == NULL)
+		return;
+	starts_to_refuse = json_integer_value(json_object_get(in, "refuse_starts"));
+	refuse_status = status != NULL ? (int)json_integer_value(status) : 503;
+	free(refuse_reason);
+	refuse_reason = xstrdup(json_string_value(json_object_get(in, "refuse_reason")));
+}
+
 /* Applies the faults that a call asks for and reports counts and violations. */
 static void handle_control(struct http_request *r, const json_t *in)
 {
@@ -450,6 +468,7 @@
 		renewal_answers_to_drop = json_integer_value(json_object_get(in, "lost_holds"));
 	if (json_object_get(in, "lost_starts") != NULL)
 		start_answers_to_drop = json_integer_value(json_object_get(in, "lost_starts"));
+	set_refusals(in);
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
@@ -661,6 +680,14 @@
 		run_start(w, in);
 		return;
 	}
+	if (starts_to_refuse > 0) {
+		starts_to_refuse--;
+		worker_reply(w, q, refuse_status,
+			json_pack("{s:s,s:I}", "reason",
+				refuse_reason != NULL ? refuse_reason : "", "clock_ms",
+				(json_int_t)now_ms()));
+		return;
+	}
 	if (run_start(w, in))
 		worker_reply(w, q, 200, worker_json(w));
 	else
