agent: a refusal settles the send that it answers, not the whole start

Callers saw a task run twice (TWICE) and workers given more than they have room for (LIMIT). A start that gets no answer is sent again, up to three times; when a repetition was refused (503, 429, no room, another instance, a connection refused), the agent reported the whole start as refused and the task was started elsewhere. The unanswered send was carried out seconds later, or had been at once with its answer lost. Only a refusal as a stale attempt was taken with care.

Now a refusal after a send without an answer leaves the outcome open: the worker's next lists show the run, or the start is voided by a stop and reported as refused, with the refusal's own answer, once lists requested after that stop don't show it. Until then the task stays on its worker and its room is counted, so neither rule can break this way, whatever the refusal was.

Ruled out: rebirths behind cuts, grants that come late, jumping clocks (nothing broken by any). A late removal of a node's key is another cause of its own.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -43,7 +43,7 @@
 EVENT(EV_START_UNSURE, "start-unsure", "task attempt sends again",
 	"a worker did not answer a start")
 EVENT(EV_START_REFUSED, "start-refused", "task attempt sends answer",
-	"a worker refused a start of which an earlier send had no answer")
+	"a worker refused a start that an earlier send may have started")
 EVENT(EV_RUN_DOUBLED, "run-doubled", "task attempt node current_attempt current_node released",
 	"a task runs on two workers; the first run was given up for the reason released")
 EVENT(EV_WORKER_OVERBOOKED, "worker-overbooked",
--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -6,8 +6,8 @@
 
 /*
  * Orders to the worker of this VM. An order without an answer may have been carried out, or may
- * be later, so it is sent again. A start that stays without an answer is voided by a stop (see
- * pending_start.voided_at) before its task may run elsewhere.
+ * be later, so it is sent again. A start that stays without an answer, or of which one send
+ * does, is voided by a stop (see pending_start.voided_at) before its task may run elsewhere.
  */
 
 COUNTER(starts_total, "damaskpath_starts_total", "Starts sent to the worker.");
@@ -105,9 +105,21 @@
 		s->voided_at = worker_now(w);
 	else
 		s->last_try_at = worker_now(w);
+	s->refused_at = 0;
 	order_call_free(c, &r);
 }
 
+/*
+ * Whether a start of unknown outcome that the worker's lists don't show is to be voided:
+ * nothing answers it, or lists requested after its refusal don't show it either.
+ */
+static bool is_void_due(const struct pending_start *s, int64_t now, int64_t requested_at)
+{
+	if (s->refused_at > 0 && requested_at > s->refused_at)
+		return true;
+	return now - s->last_try_at > UNLISTED_START_WAIT;
+}
+
 void worker_resolve_unknown_starts(
 	struct wl_worker *w, const struct pf_reply *r, int64_t requested_at)
 {
@@ -124,8 +136,8 @@
 			resolve_start(w, s, WL_ANSWER_RUNNING);
 		} else if (s->voided_at > 0) {
 			if (requested_at > s->voided_at)
-				resolve_start(w, s, WL_ANSWER_REFUSED_OTHER);
-		} else if (worker_now(w) - s->last_try_at > UNLISTED_START_WAIT) {
+				resolve_start(w, s, s->refusal);
+		} else if (is_void_due(s, worker_now(w), requested_at)) {
 			s->call_pending = true;
 			worker_send_call(w,
 				pf_worker_stop(w->p->settings.worker_addr, w->heartbeat.id,
@@ -212,14 +224,28 @@
 }
 
 /*
- * Whether a start that the worker refuses as a stale attempt may have run: it was sent more
- * than once, so the worker may have run it after an earlier send. An order to stop the run has
- * the same effect after a single send, as it raises sends_used. The coordinator has to get the
- * end of that run, with the worker's next lists, before the start is reported as refused.
+ * Handles a refusal. It answers one send: an earlier one that had no answer may have been
+ * carried out, or may be later, so the start's outcome is left to the worker's lists.
+ *
+ * A start that is refused as a stale attempt can't run from now on, but may have run if it was
+ * sent more than once. An order to stop the run has the same effect after a single send, as it
+ * raises sends_used. The coordinator has to get the end of that run, with the worker's next
+ * lists, before the start is reported as refused.
  */
-static bool may_have_run(const struct pending_start *s, enum pf_reply_kind k)
+static void handle_refused_start(
+	struct wl_worker *w, struct pending_start *s, enum pf_reply_kind kind)
 {
-	return k == PF_REPLY_STALE_ATTEMPT && s->sends_used > 1;
+	s->refusal = start_answer(kind);
+	if (kind == PF_REPLY_STALE_ATTEMPT ? s->sends_used <= 1 : !s->unanswered) {
+		resolve_start(w, s, s->refusal);
+		return;
+	}
+	event_log(EV_START_REFUSED, "task=%s attempt=%u sends=%u answer=%s", s->task,
+		s->attempt, s->sends_used, wl_answer_name(s->refusal));
+	s->outcome_unknown = true;
+	s->refused_at = worker_now(w);
+	if (kind == PF_REPLY_STALE_ATTEMPT)
+		s->voided_at = s->refused_at;
 }
 
 static void start_done(struct http_call *c, void *arg)
@@ -237,15 +263,10 @@
 		pending_start_free(s);
 	} else if (r.kind == PF_REPLY_NO_ANSWER) {
 		handle_unanswered_start(w, s);
-	} else if (may_have_run(s, r.kind)) {
-		s->outcome_unknown = true;
-		s->voided_at = worker_now(w);
+	} else if (r.kind == PF_REPLY_OK) {
+		resolve_start(w, s, WL_ANSWER_RUNNING);
 	} else {
-		if (r.kind != PF_REPLY_OK && s->unanswered)
-			event_log(EV_START_REFUSED, "task=%s attempt=%u sends=%u answer=%s",
-				s->task, s->attempt, s->sends_used,
-				wl_answer_name(start_answer(r.kind)));
-		resolve_start(w, s, start_answer(r.kind));
+		handle_refused_start(w, s, r.kind);
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->events.fenced(w->events.arg);
 	}
@@ -279,6 +300,7 @@
 		s->payload = xstrdup(o->payload);
 		s->checkpoint = xstrdup(o->starts[i].checkpoint);
 		s->ticket = xstrdup(o->starts[i].ticket);
+		s->refusal = WL_ANSWER_REFUSED_OTHER;
 		g_ptr_array_add(w->pending_starts, s);
 		w->last_start_ordinal = MAX(w->last_start_ordinal, s->ordinal);
 		if (!current || deadline == 0)
@@ -323,6 +345,7 @@
 	s->task = xstrdup(o->task);
 	s->attempt = o->attempt;
 	s->last_try_at = worker_now(w);
+	s->refusal = WL_ANSWER_REFUSED_OTHER;
 	s->outcome_unknown = true;
 	s->call_pending = true;
 	g_ptr_array_add(w->pending_starts, s);
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -30,7 +30,11 @@
 	 * void the start.
 	 */
 	int64_t last_try_at;
-	bool unanswered;      /* a send has had no answer */
+	bool unanswered; /* a send has had no answer */
+	/* Reported once the start is known not to have run. */
+	enum wl_answer refusal;
+	/* When a send was refused after another had no answer; 0 for never. */
+	int64_t refused_at;
 	bool outcome_unknown; /* to be found out from the worker's lists */
 	bool call_pending;
 	/*
