http-client: never repeat a call that may have been carried out

When a connection that was used before breaks without an answer, libcurl sends the request again by itself on a new one. A worker had carried out the first start; it refused the second with 503; the agent saw one send, refused, and the task was started elsewhere while it ran.

Now a call other than GET is aborted when libcurl is about to send it again, and ends as a call without an answer: those who send it know what that means for it. The same repetition could turn a transaction of the store that was carried out into a conflict with itself.

Weighed: sending the body from a callback that can't be rewound has the same effect but costs a system call a request; a new connection for each order costs more.

--- a/packages/transport/http-client.c
+++ b/packages/transport/http-client.c
@@ -15,6 +15,7 @@
 	struct http_call *call;
 	CURL *easy;
 	GByteArray *response;
+	bool begun; /* the request has been sent, or at least begun */
 	STAILQ_ENTRY(transfer) entry;
 };
 
@@ -78,6 +79,25 @@
 	return size * count;
 }
 
+/*
+ * Aborts a request that libcurl is about to send again. It does so by itself when a connection
+ * that it has used before breaks without an answer; the server may have carried out the first.
+ */
+static int on_request(
+	void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	struct transfer *t = arg;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (t->begun)
+		return CURL_PREREQFUNC_ABORT;
+	t->begun = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 /* Sets up the transfer of a call; client is NULL for a synchronous call. */
 static struct transfer *transfer_new(struct http_client *client, struct http_call *c)
 {
@@ -98,6 +118,10 @@
 	curl_easy_setopt(t->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	if (strcmp(c->method, "GET") != 0) {
+		curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, on_request);
+		curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
+	}
 	if (c->fresh_connection)
 		curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (c->timeout > 0)
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -10,5 +10,6 @@
 void unit_sched(CU_pSuite s);
 void unit_workload(CU_pSuite s);
 void unit_workers(CU_pSuite s);
+void unit_http(CU_pSuite s);
 
 #endif
