coordinator: make the writes of node keys conditional on their revision

Callers saw a task run twice (TWICE): a node was away for longer than its leases, the store answered late or not at all meanwhile, and the coordinator changed some time after that. The new coordinator didn't know of the node and placed its running tasks on others at once.

The key of a node, by which the next coordinator expects its report, was written and removed on the condition of the term only. A removal that was carried out after the node had come back, or that was done and not answered, left the key missing while the node counted as stored, for the rest of the term. Also a node counted as stored while the removal of its key was in flight.

The keys move to wl-coord-nodes.c. Each write and removal requires the known revision of the key. After one without an answer the node counts as unknown, and gets no tasks, until a later transaction on the same revision has been answered; that one rules the earlier one out. Keys to write are queued instead of looked for among all nodes at each transaction. A log line (node-key) tells of each transaction on a key.

--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,9 @@
 $(BUILD)/soak: $(SOAK_OBJS) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-UNIT_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/unit/*.c))
+# The unit tests take the daemon's record writer alone: they are its store.
+UNIT_OBJS = $(patsubst tests/%.c,$(BUILD)/tests/%.o,$(wildcard tests/unit/*.c)) \
+	$(foreach f,wl-coord-records wl-coord-nodes,$(BUILD)/daemon/$(f).o)
 
 $(BUILD)/test-units: $(UNIT_OBJS) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ -lcunit $(LIBS)
--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -17,6 +17,8 @@
 EVENT(EV_CANCEL, "cancel", "job status config_age_ms", "a cancellation was answered")
 EVENT(EV_DENY, "deny", "path status reason key", "a call was refused before it reached a job")
 EVENT(EV_TERM_TAKEN, "term-taken", "term revision jobs nodes", "this process coordinates now")
+EVENT(EV_NODE_KEY, "node-key", "node change revision known",
+	"a transaction on a node's key in the store ended")
 EVENT(EV_TERM_LOST, "term-lost", "term why", "this process no longer coordinates")
 EVENT(EV_TERM_SEEN, "term-seen", "term addr", "an agent follows this coordinator")
 EVENT(EV_LINK_LOST, "link-lost", "addr why silent_ms", "an agent lost its coordinator")
--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -332,7 +332,7 @@
 	for (size_t i = 0; i < r->items_len; i++) {
 		const char *node = r->items[i].key + strlen(KEY_NODE);
 
-		record_writer_add_stored_node(c->records, node);
+		record_writer_add_stored_node(c->records, node, r->items[i].revision);
 		wl_node_await_report(c->scheduler, loop_now(c->p->loop), node);
 	}
 	if (r->has_more && r->items_len > 0)
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -1,4 +1,4 @@
-#include "wl-daemon.h"
+#include "wl-coord-nodes.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -37,14 +37,6 @@
 	uint64_t version; /* of the progress that this transaction writes */
 };
 
-/* A node's key in the store, which exists while the node may run tasks. */
-struct node_record {
-	char *name;
-	bool should_exist;
-	bool stored;	/* the key exists in the store */
-	bool in_flight; /* the transaction in flight writes or removes the key */
-};
-
 struct record_writer {
 	struct wl_process *p;
 	struct wl *scheduler;
@@ -54,8 +46,7 @@
 	loop_fn *on_term_lost;
 	void *arg;
 	GHashTable *records;
-	GPtrArray *nodes;
-	GHashTable *nodes_by_name;
+	struct node_keys *nodes;
 	GQueue queue; /* dirty records, oldest first */
 	bool commit_in_flight;
 	bool due; /* what is queued is written as soon as no transaction is in flight */
@@ -75,14 +66,6 @@
 	free(rec);
 }
 
-static void node_record_free(void *arg)
-{
-	struct node_record *n = arg;
-
-	free(n->name);
-	free(n);
-}
-
 /* Returns the record of a job, creating it if needed. */
 static struct record *record_get(struct record_writer *r, const char *id)
 {
@@ -149,50 +132,24 @@
 	flush_now(r);
 }
 
-static struct node_record *node_record_find(const struct record_writer *r, const char *name)
-{
-	return g_hash_table_lookup(r->nodes_by_name, name);
-}
-
-/* Returns the record of a node, creating it if needed. */
-static struct node_record *node_record_get(struct record_writer *r, const char *name)
-{
-	struct node_record *n = node_record_find(r, name);
-
-	if (n != NULL)
-		return n;
-	n = xcalloc(1, sizeof(*n));
-	n->name = xstrdup(name);
-	g_ptr_array_add(r->nodes, n);
-	g_hash_table_insert(r->nodes_by_name, n->name, n);
-	return n;
-}
-
 /*
  * Adds or removes a node's key in the store. It must exist before the node runs tasks, so that
  * the next coordinator expects a report from it.
  */
 void record_writer_set_node(struct record_writer *r, const char *name, bool present)
 {
-	node_record_get(r, name)->should_exist = present;
+	node_keys_set(r->nodes, name, present);
 	flush_now(r);
 }
 
-/* Whether a node's key is stored and is not about to be removed. */
 bool record_writer_has_node(const struct record_writer *r, const char *name)
 {
-	const struct node_record *n = node_record_find(r, name);
-
-	return n != NULL && n->stored && n->should_exist;
+	return node_keys_has(r->nodes, name);
 }
 
-/* Notes that a node's key was found in the store. */
-void record_writer_add_stored_node(struct record_writer *r, const char *name)
+void record_writer_add_stored_node(struct record_writer *r, const char *name, int64_t revision)
 {
-	struct node_record *n = node_record_get(r, name);
-
-	n->stored = true;
-	n->should_exist = true;
+	node_keys_note_stored(r->nodes, name, revision);
 }
 
 void record_writer_flush(struct record_writer *r)
@@ -280,14 +237,7 @@
 	}
 	for (guint i = 0; i < completed->len; i++)
 		complete_record(r, completed->pdata[i], res);
-	for (guint i = 0; i < r->nodes->len; i++) {
-		struct node_record *n = r->nodes->pdata[i];
-
-		/* The transaction wrote the key if it was missing, and removed it otherwise. */
-		if (n->in_flight && res->status == KV_OK)
-			n->stored = !n->stored;
-		n->in_flight = false;
-	}
+	node_keys_settle(r->nodes, res);
 	if (res->status == KV_OK)
 		r->on_stored(r->arg);
 	if (res->status == KV_CONFLICT)
@@ -329,36 +279,6 @@
 	return b->txn.expect_len + b->txn.write_len + b->txn.remove_len;
 }
 
-/* Adds the nodes whose keys have to be written or removed. */
-static void add_nodes(struct record_writer *r, struct batch *b)
-{
-	for (guint i = 0; i < r->nodes->len && batch_len(b) < KV_TXN_MAX; i++) {
-		struct node_record *n = r->nodes->pdata[i];
-		const char *key;
-
-		if (n->should_exist == n->stored)
-			continue;
-		key = batch_key(b, KEY_NODE, n->name);
-		if (n->should_exist)
-			b->txn.write[b->txn.write_len++] = (struct kv_write){key, "", 0, 0};
-		else
-			b->txn.remove[b->txn.remove_len++] = key;
-		n->in_flight = true;
-	}
-}
-
-/* Whether a node's key has to be written or removed and is not in the transaction. */
-static bool nodes_changed(const struct record_writer *r)
-{
-	for (guint i = 0; i < r->nodes->len; i++) {
-		const struct node_record *n = r->nodes->pdata[i];
-
-		if (n->should_exist != n->stored && !n->in_flight)
-			return true;
-	}
-	return false;
-}
-
 /* Adds one record; a job without progress to store is skipped. */
 static void add_record(struct record_writer *r, struct batch *b, struct record *rec)
 {
@@ -396,10 +316,10 @@
 	b.txn.expect[0] = (struct kv_condition){KEY_TERM, r->term_revision};
 	b.txn.expect_len = 1;
 	if (r->due && !r->commit_in_flight && !r->term_lost && r->retry == NULL) {
-		add_nodes(r, &b);
+		node_keys_fill(r->nodes, &b.txn);
 		while (!g_queue_is_empty(&r->queue) && batch_len(&b) + 3 <= KV_TXN_MAX)
 			add_record(r, &b, g_queue_pop_head(&r->queue));
-		r->due = !g_queue_is_empty(&r->queue) || nodes_changed(r);
+		r->due = !g_queue_is_empty(&r->queue) || node_keys_pending(r->nodes);
 		if (b.txn.write_len + b.txn.remove_len > 0) {
 			r->commit_in_flight = true;
 			kv_commit(r->p->kv, &b.txn, on_commit_reply, r);
@@ -424,8 +344,7 @@
 	r->on_term_lost = on_term_lost;
 	r->arg = arg;
 	r->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
-	r->nodes = g_ptr_array_new_with_free_func(node_record_free);
-	r->nodes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	r->nodes = node_keys_new();
 	g_queue_init(&r->queue);
 	return r;
 }
@@ -445,7 +364,6 @@
 		return;
 	g_queue_clear(&r->queue);
 	g_hash_table_destroy(r->records);
-	g_hash_table_destroy(r->nodes_by_name);
-	g_ptr_array_unref(r->nodes);
+	node_keys_free(r->nodes);
 	free(r);
 }
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -163,8 +163,10 @@
 void record_writer_note_revision(struct record_writer *r, const char *id, int64_t revision);
 void record_writer_remove_job(struct record_writer *r, const char *id);
 void record_writer_set_node(struct record_writer *r, const char *node, bool present);
+/* Whether a node's key is in the store, and no write that may remove it is left. */
 bool record_writer_has_node(const struct record_writer *r, const char *node);
-void record_writer_add_stored_node(struct record_writer *r, const char *node);
+/* Notes that a node's key was found in the store. */
+void record_writer_add_stored_node(struct record_writer *r, const char *node, int64_t revision);
 /* Writes the changes that wait for later ones without further delay. */
 void record_writer_flush(struct record_writer *r);
 bool record_writer_idle(const struct record_writer *r);
--- /dev/null
+++ b/tests/unit/test-records.c
@@ -0,0 +1,394 @@
+#include "unit.h"
+
+#include "wl-daemon.h"
+#include "workload-fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The coordinator's record writer on a store whose answers the tests give: a transaction may be
+ * carried out and answered, carried out without an answer, or carried out later.
+ */
+
+#define TERM_REVISION 1
+
+/* A transaction with copies of its keys, as those of kv_commit live until it returns. */
+struct sent_txn {
+	char *expect[KV_TXN_MAX];
+	int64_t expect_revision[KV_TXN_MAX];
+	char *write[KV_TXN_MAX];
+	char *remove[KV_TXN_MAX];
+	struct kv_txn txn;
+	kv_callback *fn;
+	void *arg;
+};
+
+struct fake_store {
+	GHashTable *revisions; /* by key; a missing key has revision 0 */
+	int64_t revision;
+	struct sent_txn *sent; /* the transaction without an answer yet */
+	GPtrArray *late;
+	bool omits_missing; /* a conflict doesn't list the keys that don't exist */
+	int64_t now;
+	struct loop *loop;
+	struct wl_process process;
+	struct fixture scheduler;
+	struct record_writer *records;
+	bool term_lost;
+};
+
+static void txn_free(void *arg)
+{
+	struct sent_txn *t = arg;
+
+	for (size_t i = 0; i < KV_TXN_MAX; i++) {
+		free(t->expect[i]);
+		free(t->write[i]);
+		free(t->remove[i]);
+	}
+	free(t);
+}
+
+/* The store's call in wl-coord-records.c; kv is the fake store. */
+void kv_commit(struct kv *kv, const struct kv_txn *txn, kv_callback *fn, void *arg)
+{
+	struct fake_store *s = (struct fake_store *)kv;
+	struct sent_txn *t = xcalloc(1, sizeof(*t));
+
+	CU_ASSERT_TRUE(txn->expect_len + txn->write_len + txn->remove_len <= KV_TXN_MAX);
+	CU_ASSERT_PTR_NULL(s->sent);
+	t->txn = *txn;
+	t->fn = fn;
+	t->arg = arg;
+	for (size_t i = 0; i < txn->expect_len; i++) {
+		t->expect[i] = xstrdup(txn->expect[i].key);
+		t->expect_revision[i] = txn->expect[i].revision;
+	}
+	for (size_t i = 0; i < txn->write_len; i++)
+		t->write[i] = xstrdup(txn->write[i].key);
+	for (size_t i = 0; i < txn->remove_len; i++)
+		t->remove[i] = xstrdup(txn->remove[i]);
+	s->sent = t;
+}
+
+static int64_t key_revision(const struct fake_store *s, const char *key)
+{
+	const int64_t *r = g_hash_table_lookup(s->revisions, key);
+
+	return r != NULL ? *r : 0;
+}
+
+static void key_set(struct fake_store *s, const char *key, int64_t revision)
+{
+	int64_t *r = g_new(int64_t, 1);
+
+	*r = revision;
+	g_hash_table_replace(s->revisions, g_strdup(key), r);
+}
+
+/* Lists the current state of the keys that a transaction is conditional on. */
+static size_t list_expected(
+	const struct fake_store *s, const struct sent_txn *t, struct kv_item *items)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < t->txn.expect_len; i++) {
+		int64_t revision = key_revision(s, t->expect[i]);
+
+		if (revision > 0 || !s->omits_missing)
+			items[n++] =
+				(struct kv_item){.key = t->expect[i], .revision = revision};
+	}
+	return n;
+}
+
+/* Carries out a transaction if its conditions hold. */
+static bool txn_execute(struct fake_store *s, const struct sent_txn *t)
+{
+	bool holds = true;
+
+	for (size_t i = 0; i < t->txn.expect_len; i++)
+		holds = holds && key_revision(s, t->expect[i]) == t->expect_revision[i];
+	if (!holds)
+		return false;
+	s->revision++;
+	for (size_t i = 0; i < t->txn.write_len; i++)
+		key_set(s, t->write[i], s->revision);
+	for (size_t i = 0; i < t->txn.remove_len; i++)
+		g_hash_table_remove(s->revisions, t->remove[i]);
+	return true;
+}
+
+enum fate {
+	ANSWERED,
+	LOST,	  /* carried out without an answer */
+	LATE,	  /* no answer, carried out by store_run_late */
+	NOT_DONE, /* no answer, never carried out */
+	REFUSED
+};
+
+/* Ends the transaction that was sent, if there is one. */
+static void store_end_call(struct fake_store *s, enum fate fate)
+{
+	struct sent_txn *t = g_steal_pointer(&s->sent);
+	struct kv_item items[KV_TXN_MAX] = {0};
+	struct kv_result r = {.status = KV_OUTCOME_UNKNOWN};
+
+	if (t == NULL)
+		return;
+	switch (fate) {
+	case ANSWERED:
+		r.items = items;
+		r.status = txn_execute(s, t) ? KV_OK : KV_CONFLICT;
+		r.store_revision = s->revision;
+		if (r.status == KV_CONFLICT)
+			r.items_len = list_expected(s, t, items);
+		break;
+	case LOST:
+		txn_execute(s, t);
+		break;
+	case REFUSED:
+		r.status = KV_REFUSED;
+		break;
+	case LATE:
+	case NOT_DONE:
+		break;
+	}
+	t->fn(&r, t->arg);
+	if (fate == LATE)
+		g_ptr_array_add(s->late, t);
+	else
+		txn_free(t);
+}
+
+/* Carries out the transactions whose answers were given up on. */
+static void store_run_late(struct fake_store *s)
+{
+	for (guint i = 0; i < s->late->len; i++)
+		txn_execute(s, s->late->pdata[i]);
+	g_ptr_array_set_size(s->late, 0);
+}
+
+static int64_t fake_now(void *arg)
+{
+	return ((struct fake_store *)arg)->now;
+}
+
+static void stop_loop(void *arg)
+{
+	loop_stop(arg);
+}
+
+/* Lets the time pass after which the writer sends a failed transaction again. */
+static void pass_time(struct fake_store *s)
+{
+	s->now += NSEC_PER_SEC;
+	loop_timer_add(s->loop, 0, 0, stop_loop, s->loop);
+	loop_run(s->loop);
+}
+
+/* Answers what the writer sends until it sends nothing more. */
+static void store_settle(struct fake_store *s)
+{
+	for (int i = 0; i < 100; i++) {
+		store_end_call(s, ANSWERED);
+		pass_time(s);
+	}
+	CU_ASSERT_PTR_NULL(s->sent);
+}
+
+static void on_confirmed(int64_t sent, void *arg)
+{
+	(void)sent;
+	(void)arg;
+}
+
+static void on_stored(void *arg)
+{
+	(void)arg;
+}
+
+static void on_term_lost(void *arg)
+{
+	((struct fake_store *)arg)->term_lost = true;
+}
+
+static struct clock fake_clock = {.monotonic = fake_now, .wall = fake_now};
+
+static void store_init(struct fake_store *s)
+{
+	*s = (struct fake_store){.revision = 10, .now = NSEC_PER_SEC};
+	s->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->late = g_ptr_array_new_with_free_func(txn_free);
+	key_set(s, KEY_TERM, TERM_REVISION);
+	fake_clock.arg = s;
+	s->loop = loop_new(&fake_clock);
+	s->process.loop = s->loop;
+	s->process.kv = (struct kv *)s;
+	fixture_init(&s->scheduler);
+	s->records = record_writer_new(&s->process, s->scheduler.wl, TERM_REVISION,
+		on_confirmed, on_stored, on_term_lost, s);
+}
+
+static void store_clear(struct fake_store *s)
+{
+	CU_ASSERT_FALSE(s->term_lost);
+	store_end_call(s, REFUSED);
+	record_writer_free(s->records);
+	fixture_clear(&s->scheduler);
+	loop_free(s->loop);
+	g_ptr_array_unref(s->late);
+	g_hash_table_destroy(s->revisions);
+}
+
+/*
+ * A node's key is removed by a write that is carried out after the node has come back: the key
+ * is missing, the next coordinator doesn't wait for the node and runs its tasks elsewhere.
+ */
+static void test_node_key_late_removal(void)
+{
+	struct fake_store s;
+
+	store_init(&s);
+	record_writer_set_node(s.records, "n1", true);
+	store_settle(&s);
+	CU_ASSERT_TRUE(record_writer_has_node(s.records, "n1"));
+	record_writer_set_node(s.records, "n1", false);
+	store_end_call(&s, LATE);
+	pass_time(&s);
+	store_settle(&s);
+	record_writer_set_node(s.records, "n1", true);
+	store_settle(&s);
+	CU_ASSERT_TRUE(record_writer_has_node(s.records, "n1"));
+	store_run_late(&s);
+	CU_ASSERT_NOT_EQUAL(key_revision(&s, KEY_NODE "n1"), 0);
+	store_clear(&s);
+}
+
+/* The same if the node comes back before the removal is tried again, done or not. */
+static void test_node_key_unanswered_removal(void)
+{
+	const enum fate fates[] = {LOST, LATE, NOT_DONE};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fates); i++) {
+		struct fake_store s;
+
+		store_init(&s);
+		record_writer_set_node(s.records, "n1", true);
+		store_settle(&s);
+		record_writer_set_node(s.records, "n1", false);
+		store_end_call(&s, fates[i]);
+		record_writer_set_node(s.records, "n1", true);
+		CU_ASSERT_FALSE(record_writer_has_node(s.records, "n1"));
+		pass_time(&s);
+		store_settle(&s);
+		CU_ASSERT_TRUE(record_writer_has_node(s.records, "n1"));
+		store_run_late(&s);
+		CU_ASSERT_NOT_EQUAL(key_revision(&s, KEY_NODE "n1"), 0);
+		store_clear(&s);
+	}
+}
+
+/* A node whose key is being removed must not get tasks before the key is written again. */
+static void test_node_key_removal_in_flight(void)
+{
+	struct fake_store s;
+
+	store_init(&s);
+	record_writer_set_node(s.records, "n1", true);
+	store_settle(&s);
+	record_writer_set_node(s.records, "n1", false);
+	record_writer_set_node(s.records, "n1", true);
+	CU_ASSERT_FALSE(record_writer_has_node(s.records, "n1"));
+	store_settle(&s);
+	CU_ASSERT_TRUE(record_writer_has_node(s.records, "n1"));
+	CU_ASSERT_NOT_EQUAL(key_revision(&s, KEY_NODE "n1"), 0);
+	store_clear(&s);
+}
+
+/* Whether each node that counts as stored has its key in the store. */
+static bool node_keys_hold(const struct fake_store *s, unsigned int nodes)
+{
+	for (unsigned int i = 0; i < nodes; i++) {
+		g_autofree char *name = g_strdup_printf("n%u", i);
+		g_autofree char *key = g_strconcat(KEY_NODE, name, NULL);
+
+		if (record_writer_has_node(s->records, name) && key_revision(s, key) == 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Nodes come and go while writes are refused, lost and late: no write that is carried out late
+ * may undo a newer one, whatever the order.
+ */
+static void test_node_keys_random(void)
+{
+	enum {
+		NODES = 40,
+		STEPS = 400,
+		SEEDS = 50
+	};
+
+	for (unsigned int seed = 1; seed <= SEEDS; seed++) {
+		g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+		struct fake_store s;
+		bool held = true;
+
+		store_init(&s);
+		s.omits_missing = seed % 2 == 0;
+		for (int step = 0; step < STEPS; step++) {
+			g_autofree char *name =
+				g_strdup_printf("n%d", g_rand_int_range(rand, 0, NODES));
+
+			switch (g_rand_int_range(rand, 0, 5)) {
+			case 0:
+			case 1:
+				record_writer_set_node(s.records, name, g_rand_boolean(rand));
+				break;
+			case 2:
+				store_end_call(&s, (enum fate)g_rand_int_range(rand, 0, 5));
+				break;
+			case 3:
+				pass_time(&s);
+				break;
+			default:
+				if (g_rand_int_range(rand, 0, 4) == 0)
+					store_run_late(&s);
+				else
+					store_end_call(&s, ANSWERED);
+			}
+			held = held && node_keys_hold(&s, NODES);
+		}
+		for (unsigned int i = 0; i < NODES; i++) {
+			g_autofree char *name = g_strdup_printf("n%u", i);
+
+			record_writer_set_node(s.records, name, true);
+		}
+		store_settle(&s);
+		store_run_late(&s);
+		for (unsigned int i = 0; i < NODES; i++) {
+			g_autofree char *name = g_strdup_printf("n%u", i);
+
+			held = held && record_writer_has_node(s.records, name);
+		}
+		held = held && node_keys_hold(&s, NODES);
+		if (!held)
+			printf(" seed %u", seed);
+		CU_ASSERT_TRUE(held);
+		store_clear(&s);
+	}
+}
+
+void unit_records(CU_pSuite s)
+{
+	CU_add_test(s, "node key: late removal, the node is back", test_node_key_late_removal);
+	CU_add_test(s, "node key: unanswered removal, the node is back",
+		test_node_key_unanswered_removal);
+	CU_add_test(s, "node key: removal in flight, the node is back",
+		test_node_key_removal_in_flight);
+	CU_add_test(
+		s, "node keys: random order of lost and late writes", test_node_keys_random);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -11,5 +11,6 @@
 void unit_workload(CU_pSuite s);
 void unit_workers(CU_pSuite s);
 void unit_http(CU_pSuite s);
+void unit_records(CU_pSuite s);
 
 #endif
