coordinator: make the removal of an ended job conditional on its record

What callers would see: a job that was answered with 200 is gone (LOST), if its id was used before and the earlier job is being removed from the store.

The removal of an ended job required the term only. Carried out late, or done without an answer and repeated, it also removed a job that was accepted under the same id in between. The watch's event of that job was ignored, since the earlier one was still known.

The removal now requires the known revision of the progress record, which nothing writes after the job's end. A conflict therefore means that an earlier removal was carried out; if the record exists again, the new job is read (log line job-replaced). A read of a noted key that failed is repeated, as this one must not be lost. Revisions are taken from conflicts for all records in flight, also for those that the conflict leaves out because they don't exist.

Looked at without a finding: the term key, the coordinator's address and its removal require revisions; cancellations are written once and only removed with their job; the batch of progress records requires each revision.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -165,19 +165,6 @@
 	kv_watch(c->p->kv, KEY_INBOX, c->watch_revision, WATCH_TIMEOUT_MS, on_watch_result, c);
 }
 
-/* Takes what the store holds under a key that an entry has told of. */
-static void on_noted_key_read(const struct kv_result *r, void *arg)
-{
-	struct wl_coord *c = arg;
-
-	if (!coord_call_ended(c) || c->term_lost || r->status != KV_OK)
-		return;
-	for (size_t i = 0; i < r->items_len && !c->term_lost; i++)
-		read_inbox_item(c, &r->items[i]);
-	if (!c->term_lost)
-		coord_request_pass(c);
-}
-
 /* Whether the coordinator does not know yet what is stored under a key of the inbox. */
 static bool key_is_news(const struct wl_coord *c, const char *key)
 {
@@ -187,6 +174,40 @@
 	       wl_job_is_open(c->scheduler, key + strlen(KEY_CANCEL));
 }
 
+static void on_note_timer(void *arg);
+
+/* Has a key of the inbox read after a delay, unless the watch tells of it until then. */
+static void note_key(struct wl_coord *c, const char *key, int64_t delay)
+{
+	g_ptr_array_add(c->noted_keys, xstrdup(key));
+	if (c->note_timer == NULL)
+		c->note_timer = loop_timer_add(c->p->loop, delay, 0, on_note_timer, c);
+}
+
+/* A read of a noted key. */
+struct noted_read {
+	struct wl_coord *coord;
+	char *key;
+};
+
+/* Takes what the store holds under a noted key; the read is repeated if it failed. */
+static void on_noted_key_read(const struct kv_result *r, void *arg)
+{
+	struct noted_read *read = arg;
+	struct wl_coord *c = read->coord;
+	AUTOFREE char *key = read->key;
+
+	free(read);
+	if (!coord_call_ended(c) || c->term_lost || !key_is_news(c, key))
+		return;
+	if (r->status == KV_REFUSED || r->status == KV_OUTCOME_UNKNOWN)
+		note_key(c, key, STORE_RETRY_DELAY);
+	for (size_t i = 0; r->status == KV_OK && i < r->items_len && !c->term_lost; i++)
+		read_inbox_item(c, &r->items[i]);
+	if (!c->term_lost)
+		coord_request_pass(c);
+}
+
 /* Reads the noted keys that the watch has not told of. */
 static void on_note_timer(void *arg)
 {
@@ -195,12 +216,16 @@
 	c->note_timer = NULL;
 	for (guint i = 0; i < c->noted_keys->len; i++) {
 		const char *key = c->noted_keys->pdata[i];
+		struct noted_read *read;
 
 		if (c->term_lost || !key_is_news(c, key))
 			continue;
 		counter_add(&noted_reads_total, 1);
+		read = xcalloc(1, sizeof(*read));
+		read->coord = c;
+		read->key = xstrdup(key);
 		c->calls_in_flight++;
-		kv_get(c->p->kv, key, KV_READ_LINEARIZABLE, on_noted_key_read, c);
+		kv_get(c->p->kv, key, KV_READ_LINEARIZABLE, on_noted_key_read, read);
 	}
 	g_ptr_array_set_size(c->noted_keys, 0);
 }
@@ -210,9 +235,12 @@
 	if (key == NULL || !c->loaded || c->term_lost || c->noted_keys->len >= NOTED_KEYS_MAX ||
 		!key_is_news(c, key))
 		return;
-	g_ptr_array_add(c->noted_keys, xstrdup(key));
-	if (c->note_timer == NULL)
-		c->note_timer = loop_timer_add(c->p->loop, NOTE_DELAY, 0, on_note_timer, c);
+	note_key(c, key, NOTE_DELAY);
+}
+
+void inbox_read_key(struct wl_coord *c, const char *key)
+{
+	note_key(c, key, 0);
 }
 
 /* All pages were read: on the first load, logs the term and processes the deferred reports. */
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -73,7 +73,7 @@
 	 */
 	struct loop_timer *inbox_timer;
 	unsigned int jobs_read;
-	/* Keys of the inbox that entries have told of since note_timer was started. */
+	/* Keys of the inbox to read when note_timer expires. */
 	GPtrArray *noted_keys;
 	struct loop_timer *note_timer;
 };
@@ -99,5 +99,7 @@
 
 /* wl-coord-inbox.c: loads the state from the store, then watches the inbox keys. */
 void inbox_start(struct wl_coord *c);
+/* Reads a key of the inbox that the watch may have told of too early. */
+void inbox_read_key(struct wl_coord *c, const char *key);
 
 #endif
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -34,6 +34,7 @@
 	bool dirty;
 	bool remove;
 	bool in_flight;	  /* the transaction in flight writes or removes the record */
+	int64_t expected; /* the revision that this transaction requires */
 	uint64_t version; /* of the progress that this transaction writes */
 };
 
@@ -41,10 +42,7 @@
 	struct wl_process *p;
 	struct wl *scheduler;
 	int64_t term_revision;
-	record_confirmed_fn *on_confirmed;
-	record_stored_fn *on_stored;
-	loop_fn *on_term_lost;
-	void *arg;
+	struct record_events ev;
 	GHashTable *records;
 	struct node_keys *nodes;
 	GQueue queue; /* dirty records, oldest first */
@@ -170,40 +168,77 @@
 	flush_now(r);
 }
 
+/* Drops a record whose job is not in the store any more. */
+static void record_removed(struct record_writer *r, struct record *rec)
+{
+	wl_job_forget(r->scheduler, rec->id);
+	if (!rec->dirty)
+		g_hash_table_remove(r->records, rec->id);
+}
+
+/*
+ * Handles the conflict of a removal, after update_revisions. Nothing writes the record of an
+ * ended job, so an earlier removal without an answer was carried out; if the record exists,
+ * another job was accepted under the id since.
+ */
+static void settle_removal(struct record_writer *r, struct record *rec)
+{
+	g_autofree char *id = g_strdup(rec->id);
+	bool replaced = rec->revision > 0;
+
+	record_removed(r, rec);
+	if (replaced)
+		r->ev.replaced(id, r->ev.arg);
+}
+
 /* Handles the result of a transaction for one record; after a failure it is queued again. */
 static void complete_record(
 	struct record_writer *r, struct record *rec, const struct kv_result *res)
 {
+	bool changed = rec->revision != rec->expected;
+
 	rec->in_flight = false;
+	if (res->status == KV_CONFLICT && rec->remove && changed) {
+		settle_removal(r, rec);
+		return;
+	}
 	if (res->status != KV_OK) {
 		enqueue(r, rec);
 		return;
 	}
 	histogram_add(&record_seconds, loop_now(r->p->loop) - rec->enqueued_at);
 	if (rec->remove) {
-		wl_job_forget(r->scheduler, rec->id);
-		if (!rec->dirty)
-			g_hash_table_remove(r->records, rec->id);
+		record_removed(r, rec);
 		return;
 	}
 	rec->revision = MAX(rec->revision, res->store_revision);
 	wl_job_stored(r->scheduler, loop_now(r->p->loop), rec->id, rec->version);
 }
 
-/* Takes the current revisions from a conflict; returns false if the store has another term. */
-static bool update_revisions(struct record_writer *r, const struct kv_result *res)
+/* Returns a key's revision as a conflict tells it, which leaves out keys that don't exist. */
+static int64_t conflict_revision(const struct kv_result *res, const char *key)
 {
-	bool term_matches = true;
-
 	for (size_t i = 0; i < res->items_len; i++) {
-		const struct kv_item *it = &res->items[i];
+		if (strcmp(res->items[i].key, key) == 0)
+			return res->items[i].revision;
+	}
+	return 0;
+}
+
+/*
+ * Takes the current revisions of the records in flight from a conflict; returns false if the
+ * store has another term.
+ */
+static bool update_revisions(
+	const struct record_writer *r, const GPtrArray *in_flight, const struct kv_result *res)
+{
+	for (guint i = 0; i < in_flight->len; i++) {
+		struct record *rec = in_flight->pdata[i];
+		g_autofree char *key = g_strconcat(KEY_PROGRESS, rec->id, NULL);
 
-		if (strcmp(it->key, KEY_TERM) == 0)
-			term_matches = it->revision == r->term_revision;
-		else if (g_str_has_prefix(it->key, KEY_PROGRESS))
-			record_get(r, it->key + strlen(KEY_PROGRESS))->revision = it->revision;
+		rec->revision = conflict_revision(res, key);
 	}
-	return term_matches;
+	return conflict_revision(res, KEY_TERM) == r->term_revision;
 }
 
 /*
@@ -224,22 +259,22 @@
 	}
 	/* Before the starts that waited for this are sent. */
 	if (res->status == KV_OK)
-		r->on_confirmed(res->sent, r->arg);
-	if (res->status == KV_CONFLICT && !update_revisions(r, res)) {
-		r->term_lost = true;
-		r->on_term_lost(r->arg);
-		return;
-	}
+		r->ev.confirmed(res->sent, r->ev.arg);
 	g_hash_table_iter_init(&it, r->records);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (((struct record *)value)->in_flight)
 			g_ptr_array_add(completed, value);
 	}
+	if (res->status == KV_CONFLICT && !update_revisions(r, completed, res)) {
+		r->term_lost = true;
+		r->ev.term_lost(r->ev.arg);
+		return;
+	}
 	for (guint i = 0; i < completed->len; i++)
 		complete_record(r, completed->pdata[i], res);
 	node_keys_settle(r->nodes, res);
 	if (res->status == KV_OK)
-		r->on_stored(r->arg);
+		r->ev.stored(r->ev.arg);
 	if (res->status == KV_CONFLICT)
 		r->due = true;
 	if (res->status == KV_OK || res->status == KV_CONFLICT)
@@ -286,7 +321,9 @@
 	struct bytes *value;
 
 	rec->dirty = false;
+	rec->expected = rec->revision;
 	if (rec->remove) {
+		b->txn.expect[b->txn.expect_len++] = (struct kv_condition){key, rec->revision};
 		b->txn.remove[b->txn.remove_len++] = key;
 		b->txn.remove[b->txn.remove_len++] = batch_key(b, KEY_JOB, rec->id);
 		b->txn.remove[b->txn.remove_len++] = batch_key(b, KEY_CANCEL, rec->id);
@@ -305,8 +342,8 @@
 
 /*
  * Commits the pending changes, up to the size limit of a transaction, unless one is in flight
- * or a retry is scheduled. A record takes up to three operations: removing a job deletes three
- * keys.
+ * or a retry is scheduled. A record takes up to four entries: removing a job requires the
+ * revision of one key and deletes three.
  */
 static void flush(struct record_writer *r)
 {
@@ -317,7 +354,7 @@
 	b.txn.expect_len = 1;
 	if (r->due && !r->commit_in_flight && !r->term_lost && r->retry == NULL) {
 		node_keys_fill(r->nodes, &b.txn);
-		while (!g_queue_is_empty(&r->queue) && batch_len(&b) + 3 <= KV_TXN_MAX)
+		while (!g_queue_is_empty(&r->queue) && batch_len(&b) + 4 <= KV_TXN_MAX)
 			add_record(r, &b, g_queue_pop_head(&r->queue));
 		r->due = !g_queue_is_empty(&r->queue) || node_keys_pending(r->nodes);
 		if (b.txn.write_len + b.txn.remove_len > 0) {
@@ -331,18 +368,14 @@
 
 /* Creates a writer whose transactions are conditional on the revision of the term. */
 struct record_writer *record_writer_new(struct wl_process *p, struct wl *scheduler,
-	int64_t term_revision, record_confirmed_fn *on_confirmed, record_stored_fn *on_stored,
-	loop_fn *on_term_lost, void *arg)
+	int64_t term_revision, const struct record_events *ev)
 {
 	struct record_writer *r = xcalloc(1, sizeof(*r));
 
 	r->p = p;
 	r->scheduler = scheduler;
 	r->term_revision = term_revision;
-	r->on_confirmed = on_confirmed;
-	r->on_stored = on_stored;
-	r->on_term_lost = on_term_lost;
-	r->arg = arg;
+	r->ev = *ev;
 	r->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
 	r->nodes = node_keys_new();
 	g_queue_init(&r->queue);
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -245,6 +245,18 @@
 	coord_load_add(&c->load, COORD_WORK_STORED, loop_now(c->p->loop) - began);
 }
 
+/*
+ * Reads a job that was accepted under the id of a removed one: what the watch told of it was
+ * ignored while the earlier job was known.
+ */
+static void on_job_replaced(const char *id, void *arg)
+{
+	g_autofree char *key = g_strconcat(KEY_JOB, id, NULL);
+
+	event_log(EV_JOB_REPLACED, "job=%s", id);
+	inbox_read_key(arg, key);
+}
+
 static void on_term_superseded(void *arg)
 {
 	coord_lose_term(arg, "a write found another term in the store");
@@ -462,6 +474,11 @@
 		.silence_max = AUTHORITY_MAX + s->lease_max +
 			       s->lease_max / SLOW_CLOCK_DIVISOR + RUN_LEASE_MARGIN,
 		.retention = s->ended_retention + RETENTION_MARGIN};
+	const struct record_events records = {.confirmed = on_term_confirmed,
+		.stored = on_records_stored,
+		.replaced = on_job_replaced,
+		.term_lost = on_term_superseded,
+		.arg = c};
 	const struct wl_callbacks out = {.start = order_start,
 		.stop = order_stop,
 		.pace = order_pace,
@@ -487,8 +504,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stored_progress_free);
 	c->pending_cancels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->scheduler = wl_new(term, &limits, &out);
-	c->records = record_writer_new(p, c->scheduler, term_revision, on_term_confirmed,
-		on_records_stored, on_term_superseded, c);
+	c->records = record_writer_new(p, c->scheduler, term_revision, &records);
 	c->feed = config_feed_new(p, CONFIG_PERIOD, on_config, c);
 	c->renew_timer = loop_timer_add(
 		p->loop, STORE_LEASE_RENEW_PERIOD, STORE_LEASE_RENEW_PERIOD, renew_lease, c);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -150,12 +150,17 @@
 
 /* wl-coord-records.c: writes job progress and the list of nodes to the store. */
 struct record_writer;
-typedef void record_stored_fn(void *arg);
-/* A transaction that was sent at a time, and requires the term, has succeeded. */
-typedef void record_confirmed_fn(int64_t sent, void *arg);
+struct record_events {
+	/* A transaction that was sent at a time, and requires the term, has succeeded. */
+	void (*confirmed)(int64_t sent, void *arg);
+	void (*stored)(void *arg);
+	/* Another job has been accepted under the id of a job that was removed. */
+	void (*replaced)(const char *id, void *arg);
+	void (*term_lost)(void *arg);
+	void *arg;
+};
 struct record_writer *record_writer_new(struct wl_process *p, struct wl *scheduler,
-	int64_t term_revision, record_confirmed_fn *on_confirmed, record_stored_fn *on_stored,
-	loop_fn *on_term_lost, void *arg);
+	int64_t term_revision, const struct record_events *ev);
 void record_writer_free(struct record_writer *r);
 void record_writer_mark_dirty(
 	struct record_writer *r, const char *id, enum wl_store_urgency urgency);
--- a/tests/unit/test-records.c
+++ b/tests/unit/test-records.c
@@ -36,6 +36,7 @@
 	struct fixture scheduler;
 	struct record_writer *records;
 	bool term_lost;
+	char replaced[WL_ID_LEN + 1]; /* the last job that was told as replaced */
 };
 
 static void txn_free(void *arg)
@@ -209,6 +210,13 @@
 	(void)arg;
 }
 
+static void on_replaced(const char *id, void *arg)
+{
+	struct fake_store *s = arg;
+
+	g_strlcpy(s->replaced, id, sizeof(s->replaced));
+}
+
 static void on_term_lost(void *arg)
 {
 	((struct fake_store *)arg)->term_lost = true;
@@ -218,6 +226,12 @@
 
 static void store_init(struct fake_store *s)
 {
+	const struct record_events ev = {.confirmed = on_confirmed,
+		.stored = on_stored,
+		.replaced = on_replaced,
+		.term_lost = on_term_lost,
+		.arg = s};
+
 	*s = (struct fake_store){.revision = 10, .now = NSEC_PER_SEC};
 	s->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->late = g_ptr_array_new_with_free_func(txn_free);
@@ -227,8 +241,7 @@
 	s->process.loop = s->loop;
 	s->process.kv = (struct kv *)s;
 	fixture_init(&s->scheduler);
-	s->records = record_writer_new(&s->process, s->scheduler.wl, TERM_REVISION,
-		on_confirmed, on_stored, on_term_lost, s);
+	s->records = record_writer_new(&s->process, s->scheduler.wl, TERM_REVISION, &ev);
 }
 
 static void store_clear(struct fake_store *s)
@@ -382,6 +395,64 @@
 	}
 }
 
+#define JOB_ID "00000000000000a1"
+
+/* An entry accepts a job: its key and its progress record are written together. */
+static void accept_job(struct fake_store *s)
+{
+	s->revision++;
+	key_set(s, KEY_JOB JOB_ID, s->revision);
+	key_set(s, KEY_PROGRESS JOB_ID, s->revision);
+}
+
+/* Begins to remove a job from the store. */
+static void remove_job(struct fake_store *s)
+{
+	accept_job(s);
+	record_writer_note_revision(s->records, JOB_ID, s->revision);
+	record_writer_remove_job(s->records, JOB_ID);
+}
+
+/*
+ * An ended job is removed by a write that is carried out after another job was accepted under
+ * its id: the accepted job is gone from the store.
+ */
+static void test_job_late_removal(void)
+{
+	struct fake_store s;
+
+	store_init(&s);
+	remove_job(&s);
+	store_end_call(&s, LATE);
+	pass_time(&s);
+	store_settle(&s);
+	CU_ASSERT_EQUAL(key_revision(&s, KEY_JOB JOB_ID), 0);
+	accept_job(&s);
+	store_run_late(&s);
+	CU_ASSERT_NOT_EQUAL(key_revision(&s, KEY_JOB JOB_ID), 0);
+	store_clear(&s);
+}
+
+/* The removal was done but not answered, and is repeated after the id was used again. */
+static void test_job_unanswered_removal(void)
+{
+	for (int again = 0; again <= 1; again++) {
+		struct fake_store s;
+
+		store_init(&s);
+		s.omits_missing = true;
+		remove_job(&s);
+		store_end_call(&s, LOST);
+		if (again)
+			accept_job(&s);
+		pass_time(&s);
+		store_settle(&s);
+		CU_ASSERT_EQUAL(key_revision(&s, KEY_JOB JOB_ID) != 0, again);
+		CU_ASSERT_STRING_EQUAL(s.replaced, again ? JOB_ID : "");
+		store_clear(&s);
+	}
+}
+
 void unit_records(CU_pSuite s)
 {
 	CU_add_test(s, "node key: late removal, the node is back", test_node_key_late_removal);
@@ -391,4 +462,7 @@
 		test_node_key_removal_in_flight);
 	CU_add_test(
 		s, "node keys: random order of lost and late writes", test_node_keys_random);
+	CU_add_test(s, "job: late removal, the id is used again", test_job_late_removal);
+	CU_add_test(s, "job: unanswered removal, the id is used again",
+		test_job_unanswered_removal);
 }
