agent: ignore a worker's outdated reports about itself

What callers saw: a worker that came back smaller got tasks above its capacity (LIMIT).

Cause: each report was believed as it arrived. One of an earlier life switched the agent back to that life, the next answer switched it forward, and the new life was reported with the old life's capacity and drain state; each switch dropped the pending starts without voiding them. `sequence` was not read, so an overtaken report of the same life was believed as well, and two reports that arrived together shared one slot, whatever their order.

Change: a report with a lower start time than the current life's, of the life before, or with a sequence that is not above the last is ignored and logged (report-outdated). Start times only order lives while the worker's clock isn't set back: the answer to a call that was sent since the current life is known shows which one lives, and so does a 421; after that, or once the life has left or is given up, an earlier start time is accepted. A switch is logged (worker-life).

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -32,6 +32,10 @@
 	"a worker's tasks are proved not to run")
 EVENT(EV_WORKER_LOST, "worker-lost", "life silent_ms",
 	"an agent's worker is silent and its leases have run out")
+EVENT(EV_WORKER_LIFE, "worker-life", "life previous starts",
+	"an agent's worker has started; its pending starts are dropped")
+EVENT(EV_REPORT_OUTDATED, "report-outdated", "report sequence life why",
+	"a worker's report about itself came late and is ignored")
 EVENT(EV_WORKER_DRAIN, "worker-drain", "node life remaining_ms tasks", "a worker is leaving")
 EVENT(EV_WORKER_SUSPECT, "worker-suspect", "node strikes",
 	"a worker fails or stalls what it runs")
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -3,8 +3,6 @@
 
 #include "wl-daemon.h"
 
-#include <pthread.h>
-
 /* Declarations shared by wl-worker.c and wl-worker-order.c. */
 
 /* A start order whose outcome is not known yet. */
@@ -53,13 +51,11 @@
 	struct http_server *server;
 	unsigned int calls_pending;
 	bool freed;
-	pthread_mutex_t lock; /* guards heartbeat_next and heartbeat_posted */
-	/* The last heartbeat; its id is NULL before the first. */
+	/* The last heartbeat that was not outdated; its id is NULL before the first. */
 	struct pf_heartbeat heartbeat;
-	struct pf_heartbeat heartbeat_next; /* received by the server, not yet processed */
-	bool heartbeat_posted;
 	int64_t heartbeat_at;
-	bool left; /* its last heartbeat said that it is leaving */
+	int64_t spoke_at; /* the last heartbeat, also if it was outdated */
+	bool left;	  /* its last heartbeat said that it is leaving */
 	/* Reported as gone: it is silent, and every lease that it may have has run out. */
 	bool lost;
 	int64_t heard_at;	 /* the last heartbeat or answer */
@@ -67,6 +63,9 @@
 	unsigned int unanswered; /* renewals in a row that had no answer */
 	char *instance; /* the worker's id and start time; worker_instance in messages */
 	int64_t instance_started_at;
+	int64_t previous_started_at; /* of the instance before; 0 for none */
+	uint64_t instance_count;     /* instances seen so far */
+	bool replaced;		     /* an instance with another id answers in its place */
 	/* The worker's clock as of clock_at on the agent's; clock_at is 0 if unknown. */
 	int64_t clock_ms;
 	int64_t clock_at;
@@ -101,6 +100,7 @@
 	struct pending_start *start;
 	struct pending_stop *stop;
 	uint64_t term;
+	uint64_t instance_count; /* worker.instance_count when it was sent */
 };
 
 /* wl-worker.c */
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -1,7 +1,6 @@
 #include "wl-worker-private.h"
 
 #include <inttypes.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -43,6 +42,7 @@
 	wc->worker = w;
 	wc->start = s;
 	wc->term = w->term;
+	wc->instance_count = w->instance_count;
 	c->done = done;
 	c->arg = wc;
 	w->calls_pending++;
@@ -85,9 +85,15 @@
 /* Switches to another instance of the worker; drops the starts pending at the previous one. */
 static void begin_instance(struct wl_worker *w, const char *id, int64_t instance_started_at)
 {
-	free(w->instance);
+	AUTOFREE char *previous = w->instance;
+
 	xasprintf(&w->instance, "%s@%" PRId64, id, instance_started_at);
+	event_log(EV_WORKER_LIFE, "life=%s previous=%s starts=%u", w->instance,
+		previous != NULL ? previous : "-", w->pending_starts->len);
+	w->previous_started_at = w->instance_started_at;
 	w->instance_started_at = instance_started_at;
+	w->instance_count++;
+	w->replaced = false;
 	w->clock_at = 0;
 	w->lost = false;
 	w->unanswered = 0;
@@ -97,12 +103,25 @@
 		worker_drop_start(w, w->pending_starts->pdata[0]);
 }
 
-/* Takes the worker's clock and instance from an answer. */
-static void observe_reply(struct wl_worker *w, const struct pf_reply *r)
+/*
+ * Takes the worker's clock and instance from an answer. The answer to a call that was sent
+ * since the current instance is known shows which one lives now, whatever its start time.
+ */
+static void observe_reply(
+	struct wl_worker *w, const struct worker_call *wc, const struct pf_reply *r)
 {
+	bool sent_to_current = wc->instance_count == w->instance_count;
+
+	if (r->kind == PF_REPLY_OTHER_INSTANCE) {
+		w->replaced |= sent_to_current;
+		return;
+	}
 	if (r->instance_started_at != 0 && w->heartbeat.id != NULL &&
-		r->instance_started_at != w->instance_started_at)
+		r->instance_started_at != w->instance_started_at) {
+		if (!sent_to_current)
+			return;
 		begin_instance(w, w->heartbeat.id, r->instance_started_at);
+	}
 	if (r->clock_ms > 0) {
 		w->clock_ms = r->clock_ms;
 		w->clock_at = worker_now(w);
@@ -186,7 +205,7 @@
 	if (w->freed) {
 		wl_worker_free(w);
 	} else {
-		observe_reply(w, &r);
+		observe_reply(w, wc, &r);
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->events.fenced(w->events.arg);
 		if (r.kind == PF_REPLY_OK && wc->term == w->term && w->instance != NULL) {
@@ -241,7 +260,7 @@
 	if (w->renewal_pending || w->renewal_timer != NULL || w->term == 0 ||
 		w->heartbeat.id == NULL || w->left)
 		return;
-	if (worker_now(w) - w->heartbeat_at > HEARTBEAT_TIMEOUT) {
+	if (worker_now(w) - w->spoke_at > HEARTBEAT_TIMEOUT) {
 		schedule_renewal(w, RENEWAL_RETRY_DELAY);
 		return;
 	}
@@ -298,70 +317,98 @@
 		renew_and_list(w);
 }
 
-/* Processes the latest heartbeat, on the loop. */
-static void process_heartbeat(void *arg)
+/*
+ * Why a heartbeat is outdated, NULL if it is not: a later one of its instance has overtaken it,
+ * or it is of an instance before the current one. An earlier start time may also mean that the
+ * worker's clock was set back, so it counts only while the current instance may be alive.
+ */
+static const char *heartbeat_outdated(const struct wl_worker *w, const struct pf_heartbeat *h)
 {
-	struct wl_worker *w = arg;
-	bool leaving;
-
-	pthread_mutex_lock(&w->lock);
-	w->heartbeat_posted = false;
-	/* Of a worker that leaves (PF_HEARTBEAT_LEAVE) only the id is known. */
-	leaving = w->heartbeat_next.service == NULL;
-	if (!leaving) {
-		if (w->instance == NULL ||
-			g_strcmp0(w->heartbeat.id, w->heartbeat_next.id) != 0 ||
-			w->heartbeat_next.instance_started_at != w->instance_started_at)
-			begin_instance(
-				w, w->heartbeat_next.id, w->heartbeat_next.instance_started_at);
-		pf_heartbeat_clear(&w->heartbeat);
-		w->heartbeat = w->heartbeat_next;
-		memset(&w->heartbeat_next, 0, sizeof(w->heartbeat_next));
-		w->left = false;
-	} else if (g_strcmp0(w->heartbeat.id, w->heartbeat_next.id) == 0) {
+	bool may_be_alive = !w->left && !w->lost && !w->replaced;
+
+	if (w->heartbeat.id == NULL)
+		return NULL;
+	if (h->instance_started_at == w->heartbeat.instance_started_at &&
+		strcmp(h->id, w->heartbeat.id) == 0 && h->sequence >= 0 &&
+		h->sequence <= w->heartbeat.sequence)
+		return "overtaken";
+	if (h->instance_started_at == w->instance_started_at || !may_be_alive)
+		return NULL;
+	return h->instance_started_at < w->instance_started_at ||
+			       h->instance_started_at == w->previous_started_at
+		       ? "earlier life"
+		       : NULL;
+}
+
+/* A heartbeat on its way from a thread of the server to the loop. */
+struct received_heartbeat {
+	struct wl_worker *worker;
+	struct pf_heartbeat heartbeat;
+};
+
+/* Handles the heartbeat of a worker that leaves, of which only the id is known. */
+static void process_leave(struct wl_worker *w, const struct pf_heartbeat *h)
+{
+	const struct pf_reply none = {0};
+
+	if (g_strcmp0(w->heartbeat.id, h->id) == 0)
 		w->left = true;
-		pf_heartbeat_clear(&w->heartbeat_next);
-	}
-	pthread_mutex_unlock(&w->lock);
-	w->heartbeat_at = worker_now(w);
-	if (w->left && w->term != 0 && w->instance != NULL) {
-		const struct pf_reply none = {0};
+	if (!w->left || w->term == 0 || w->instance == NULL)
+		return;
+	/* It runs nothing any more: its empty lists are up to date and settle all starts. */
+	w->renewal_sent_at = worker_now(w);
+	w->renewal_settled_ordinal = w->last_start_ordinal;
+	report_runs(w, &none);
+}
 
-		/*
-		 * A worker that has left runs nothing: its empty lists are up to date and
-		 * settle all starts.
-		 */
-		w->renewal_sent_at = worker_now(w);
-		w->renewal_settled_ordinal = w->last_start_ordinal;
-		report_runs(w, &none);
+/* Processes a heartbeat, on the loop. */
+static void process_heartbeat(void *arg)
+{
+	AUTOFREE struct received_heartbeat *received = arg;
+	struct wl_worker *w = received->worker;
+	struct pf_heartbeat *h = &received->heartbeat;
+	const char *outdated;
+
+	w->spoke_at = worker_now(w);
+	if (h->service == NULL) {
+		process_leave(w, h);
+		pf_heartbeat_clear(h);
+		renew_and_list(w);
 		return;
 	}
+	outdated = heartbeat_outdated(w, h);
+	if (outdated != NULL) {
+		event_log(EV_REPORT_OUTDATED,
+			"report=%s@%" PRId64 " sequence=%" PRId64 " life=%s why=\"%s\"", h->id,
+			h->instance_started_at, h->sequence, w->instance, outdated);
+		pf_heartbeat_clear(h);
+	} else {
+		if (w->instance == NULL || g_strcmp0(w->heartbeat.id, h->id) != 0 ||
+			h->instance_started_at != w->instance_started_at)
+			begin_instance(w, h->id, h->instance_started_at);
+		pf_heartbeat_clear(&w->heartbeat);
+		w->heartbeat = *h;
+		w->heartbeat_at = w->spoke_at;
+		w->left = false;
+	}
 	renew_and_list(w);
 }
 
 /* Receives a heartbeat, on a thread of the server. */
 static void on_heartbeat(struct http_request *r, void *arg)
 {
-	struct wl_worker *w = arg;
-	struct pf_heartbeat b;
-	enum pf_heartbeat_kind k =
-		pf_heartbeat_parse(http_method(r), http_path(r), http_body(r), &b);
-	bool post;
+	struct received_heartbeat *received = xcalloc(1, sizeof(*received));
 
-	if (k == PF_HEARTBEAT_INVALID) {
+	received->worker = arg;
+	if (pf_heartbeat_parse(http_method(r), http_path(r), http_body(r),
+		    &received->heartbeat) == PF_HEARTBEAT_INVALID) {
 		event_log(EV_BAD_INPUT, "from=worker what=\"%s %s\"", http_method(r),
 			http_path(r));
+		free(received);
 		http_reply(r, 400, NULL, "", 0);
 		return;
 	}
-	pthread_mutex_lock(&w->lock);
-	pf_heartbeat_clear(&w->heartbeat_next);
-	w->heartbeat_next = b;
-	post = !w->heartbeat_posted;
-	w->heartbeat_posted = true;
-	pthread_mutex_unlock(&w->lock);
-	if (post)
-		loop_post(w->p->loop, process_heartbeat, w);
+	loop_post(received->worker->p->loop, process_heartbeat, received);
 	http_reply_text(r, 200, "application/json", "{}");
 }
 
@@ -382,7 +429,6 @@
 	w->p = p;
 	w->events = *ev;
 	w->pending_starts = g_ptr_array_new();
-	pthread_mutex_init(&w->lock, NULL);
 	w->server =
 		http_server_new(p->settings.worker_control_addr, &limits, on_heartbeat, w, err);
 	if (w->server != NULL)
@@ -412,7 +458,6 @@
 	if (w->calls_pending > 0)
 		return;
 	pf_heartbeat_clear(&w->heartbeat);
-	pf_heartbeat_clear(&w->heartbeat_next);
 	free(w->instance);
 	g_ptr_array_unref(w->pending_starts);
 	free(w);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -22,7 +22,12 @@
  * of their time says that there was none
  *   {"drop_answers":3}   the next 3 transactions that write a key are committed and answered
  *                        with 500; those that only remove keys are answered as usual
- *   {"crash":"WORKER"}   the worker loses its state and starts again
+ *   {"crash":"WORKER"}   the worker loses its state and starts again under its id
+ *   {"born_ms":-5000}    moves the start times that workers report from their next start on
+ *   {"resize":"WORKER", "accelerators":4}  the worker has another capacity from now on
+ *   {"old_reports":"WORKER"} each heartbeat of the worker is followed by an overtaken one and
+ *                        one of its previous life, both with all accelerators, until this
+ *                        names another or none
  *   {"mute":"WORKER"}    the worker carries out calls and answers them with 500, until
  *                        "mute" names another worker or none that exists
  *   {"gone":"WORKER"}    the worker loses its state, sends no heartbeats, and answers calls
@@ -41,6 +46,7 @@
 #define ACCELERATORS	      8	   /* of each worker */
 #define MUTE_CRASH_SILENCE_MS 2500 /* after a mute worker crashes, until its heartbeat */
 #define STOP_DURATION_MS      100  /* from a stop call until the run ends */
+#define OLD_REPORT_DELAY_MS   60   /* of a report of old_reports after a heartbeat */
 #define START_DELAY_MS	      2500 /* of the starts that late_orders delays */
 #define TICK		      (20 * NSEC_PER_MSEC)
 #define HEARTBEAT_PERIOD      (300 * NSEC_PER_MSEC)
@@ -87,7 +93,9 @@
 	char *app;
 	char *control;
 	struct http_server *server;
-	int64_t instance_started_at; /* of now_ms(); sent as "born" */
+	int64_t instance_started_at; /* sent as "born"; now_ms() moved by born_offset_ms */
+	int64_t previous_started_at; /* of the life before, 0 for none */
+	json_int_t accelerators;
 	int64_t sequence;
 	int64_t next_heartbeat_ms;
 	int64_t lease_until_ms;
@@ -102,6 +110,8 @@
 	unsigned int started;
 	bool mute;
 	bool gone;
+	bool old_reports;
+	int64_t old_report_ms; /* when the next of old_reports is due; 0 for none */
 };
 
 static struct loop *loop;
@@ -125,6 +135,7 @@
 static char *refuse_reason;
 static json_int_t renewal_answers_to_drop;
 static GPtrArray *delayed_starts;
+static int64_t born_offset_ms;
 /* Records for the checks of tests. */
 static GHashTable *started_jobs;     /* jobs that had a task started */
 static GHashTable *acked_done_tasks; /* tasks whose "done" end was acknowledged */
@@ -394,7 +405,9 @@
 /* Resets a worker to the state of a new instance. */
 static void worker_crash(struct worker *w)
 {
-	w->instance_started_at = now_ms();
+	w->previous_started_at = w->instance_started_at;
+	w->instance_started_at = now_ms() + born_offset_ms;
+	w->sequence = 0;
 	w->fence = 0;
 	w->last_end = 0;
 	w->lease_until_ms = 0;
@@ -452,6 +465,8 @@
 	const char *crash = json_string_value(json_object_get(in, "crash"));
 	const char *mute = json_string_value(json_object_get(in, "mute"));
 	const char *gone = json_string_value(json_object_get(in, "gone"));
+	const char *resize = json_string_value(json_object_get(in, "resize"));
+	const char *old_reports = json_string_value(json_object_get(in, "old_reports"));
 	json_t *started = json_object();
 
 	if (json_object_get(in, "down") != NULL)
@@ -469,9 +484,16 @@
 	if (json_object_get(in, "lost_starts") != NULL)
 		start_answers_to_drop = json_integer_value(json_object_get(in, "lost_starts"));
 	set_refusals(in);
+	if (json_object_get(in, "born_ms") != NULL)
+		born_offset_ms = json_integer_value(json_object_get(in, "born_ms"));
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
+		if (old_reports != NULL)
+			w->old_reports = strcmp(old_reports, w->name) == 0;
+		if (resize != NULL && strcmp(resize, w->name) == 0)
+			w->accelerators =
+				json_integer_value(json_object_get(in, "accelerators"));
 		if (mute != NULL)
 			w->mute = strcmp(mute, w->name) == 0;
 		if ((crash != NULL && strcmp(crash, w->name) == 0) ||
@@ -602,7 +624,7 @@
 			used += other == w ? r->accelerators : 0;
 		}
 	}
-	if (used > ACCELERATORS)
+	if (used > w->accelerators)
 		record_violation("accelerators overcommitted on worker", w->name);
 }
 
@@ -780,15 +802,15 @@
 	http_call_free(c);
 }
 
-/* Sends a heartbeat to the worker's agent. */
-static void send_heartbeat(struct worker *w)
+/* Sends a heartbeat of a life of a worker to its agent. */
+static void send_heartbeat(
+	const struct worker *w, int64_t started_at, int64_t sequence, json_int_t accelerators)
 {
 	AUTOFREE char *url = NULL;
-	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:{s:i,s:i,s:i},s:[s,s]}", "service",
-		"proofing", "zone", "z1", "state", "ready", "sequence",
-		(json_int_t)++w->sequence, "born", (json_int_t)w->instance_started_at,
-		"capacity", "cpu", 32000, "task_memory_mb", 64000, "gpu", ACCELERATORS,
-		"labels", "a", "r1-1");
+	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:{s:i,s:i,s:I},s:[s,s]}", "service",
+		"proofing", "zone", "z1", "state", "ready", "sequence", (json_int_t)sequence,
+		"born", (json_int_t)started_at, "capacity", "cpu", 32000, "task_memory_mb",
+		64000, "gpu", accelerators, "labels", "a", "r1-1");
 	struct http_call *c;
 
 	xasprintf(&url, "http://%s/v1/instances/%s", w->control, w->name);
@@ -825,7 +847,16 @@
 		}
 		if (!w->gone && now_ms() >= w->next_heartbeat_ms) {
 			w->next_heartbeat_ms = now_ms() + HEARTBEAT_PERIOD / NSEC_PER_MSEC;
-			send_heartbeat(w);
+			send_heartbeat(
+				w, w->instance_started_at, ++w->sequence, w->accelerators);
+			if (w->old_reports)
+				w->old_report_ms = now_ms() + OLD_REPORT_DELAY_MS;
+		}
+		if (w->old_report_ms != 0 && now_ms() >= w->old_report_ms) {
+			w->old_report_ms = 0;
+			send_heartbeat(w, w->previous_started_at, 1000, ACCELERATORS);
+			send_heartbeat(
+				w, w->instance_started_at, w->sequence - 1, ACCELERATORS);
 		}
 	}
 	for (guint i = leases->len; i > 0; i--) {
@@ -852,6 +883,7 @@
 	w->last_attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->finished = json_array();
 	w->instance_started_at = now_ms();
+	w->accelerators = ACCELERATORS;
 	w->server = http_server_new(w->app, limits, on_worker_request, w, NULL);
 	if (w->server == NULL) {
 		fprintf(stderr, "standin-platform: cannot listen on %s\n", w->app);
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -504,7 +504,7 @@
 		"{\"service\":\"s\",\"state\":\"draining\",\"drain_remaining_ms\":900,\"born\":"
 		"5,"
 		"\"capacity\":{\"cpu\":1000,\"task_memory_mb\":10,\"gpu\":2},\"labels\":[\"a\","
-		"\"r1-3\"]}";
+		"\"r1-3\"],\"sequence\":7}";
 	static const char invalid[] = "{\"service\":\"s\",\"state\":\"odd\",\"capacity\":{}}";
 	struct bytes text = {(void *)valid, strlen(valid)};
 	struct pf_heartbeat b;
@@ -514,6 +514,8 @@
 	CU_ASSERT_STRING_EQUAL(b.id, "i-1");
 	CU_ASSERT_STRING_EQUAL(b.worker_report.rack, "r1-3");
 	CU_ASSERT_TRUE(b.worker_report.draining);
+	CU_ASSERT_EQUAL(b.instance_started_at, 5);
+	CU_ASSERT_EQUAL(b.sequence, 7);
 	pf_heartbeat_clear(&b);
 	CU_ASSERT_EQUAL(pf_heartbeat_parse("DELETE", "/v1/instances/i-1", &text, &b),
 		PF_HEARTBEAT_LEAVE);
