agent: report a new life of a worker only with its own capacity

What callers saw: a worker that came back smaller got tasks above its capacity (LIMIT).

Cause: an answer can show a new life before the first report of that life about itself arrives. The agent then reported the new life's lists with the capacity, labels and drain state of the life before. It also passed on lists that a life before the current one had answered with.

Change: lists are passed on only if the call was sent to the current life and that life has reported about itself.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -104,8 +104,8 @@
 }
 
 /*
- * Takes the worker's clock and instance from an answer. The answer to a call that was sent
- * since the current instance is known shows which one lives now, whatever its start time.
+ * Takes the worker's clock, or another instance, from an answer. The answer to a call that was
+ * sent since the current instance is known shows which one lives now, whatever its start time.
  */
 static void observe_reply(
 	struct wl_worker *w, const struct worker_call *wc, const struct pf_reply *r)
@@ -118,9 +118,9 @@
 	}
 	if (r->instance_started_at != 0 && w->heartbeat.id != NULL &&
 		r->instance_started_at != w->instance_started_at) {
-		if (!sent_to_current)
-			return;
-		begin_instance(w, w->heartbeat.id, r->instance_started_at);
+		if (sent_to_current)
+			begin_instance(w, w->heartbeat.id, r->instance_started_at);
+		return;
 	}
 	if (r->clock_ms > 0) {
 		w->clock_ms = r->clock_ms;
@@ -188,6 +188,35 @@
 		w->renewal_timer = loop_timer_add(w->p->loop, pause, 0, on_renewal_timer, w);
 }
 
+/* Whether the current instance has said of itself what it can take. */
+static bool has_own_heartbeat(const struct wl_worker *w)
+{
+	return w->instance != NULL &&
+	       w->heartbeat.instance_started_at == w->instance_started_at;
+}
+
+/*
+ * Passes the lists of an answer on. They count only if the call was sent to the current
+ * instance, and only with that instance's own heartbeat.
+ */
+static void process_lists(
+	struct wl_worker *w, const struct worker_call *wc, const struct pf_reply *r)
+{
+	if (wc->term != w->term || wc->instance_count != w->instance_count ||
+		!has_own_heartbeat(w))
+		return;
+	/*
+	 * The report with the ended runs is sent first. If a start without an answer has been
+	 * voided by a stop, and its run has ended, the run is not listed as running and the
+	 * start is reported as refused below. The coordinator must know by then that the run
+	 * has ended.
+	 */
+	report_runs(w, r);
+	worker_resolve_unknown_starts(w, r, w->renewal_sent_at);
+	if (r->ends_len > 0)
+		w->ends_listed = MAX(w->ends_listed, r->ends[r->ends_len - 1].number);
+}
+
 static void renewal_done(struct http_call *c, void *arg)
 {
 	struct worker_call *wc = arg;
@@ -208,25 +237,15 @@
 		observe_reply(w, wc, &r);
 		if (r.kind == PF_REPLY_FENCED && wc->term == w->term)
 			w->events.fenced(w->events.arg);
-		if (r.kind == PF_REPLY_OK && wc->term == w->term && w->instance != NULL) {
-			/*
-			 * The report with the ended runs is sent first. If a start without an
-			 * answer has been voided by a stop, and its run has ended, the run is
-			 * not listed as running and the start is reported as refused below.
-			 * The coordinator must know by then that the run has ended.
-			 */
-			report_runs(w, &r);
-			worker_resolve_unknown_starts(w, &r, w->renewal_sent_at);
-		}
-		if (r.ends_len > 0)
-			w->ends_listed = MAX(w->ends_listed, r.ends[r.ends_len - 1].number);
+		if (r.kind == PF_REPLY_OK)
+			process_lists(w, wc, &r);
 		/*
 		 * The worker doesn't wait while it has ends to list that are not acknowledged,
 		 * so the coordinator gets some time to store them.
 		 */
 		if (r.kind == PF_REPLY_OK && w->ends_listed > w->ends_stored)
 			schedule_renewal(w, ENDS_STORE_DELAY);
-		else if (r.kind == PF_REPLY_OK)
+		else if (r.kind == PF_REPLY_OK && (has_own_heartbeat(w) || w->clock_at == 0))
 			renew_and_list(w);
 		else
 			schedule_renewal(w, RENEWAL_RETRY_DELAY);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -25,6 +25,7 @@
  *   {"crash":"WORKER"}   the worker loses its state and starts again under its id
  *   {"born_ms":-5000}    moves the start times that workers report from their next start on
  *   {"resize":"WORKER", "accelerators":4}  the worker has another capacity from now on
+ *   {"quiet":"WORKER"}   the worker sends no heartbeats, until "quiet" names another or none
  *   {"old_reports":"WORKER"} each heartbeat of the worker is followed by an overtaken one and
  *                        one of its previous life, both with all accelerators, until this
  *                        names another or none
@@ -110,6 +111,7 @@
 	unsigned int started;
 	bool mute;
 	bool gone;
+	bool quiet;
 	bool old_reports;
 	int64_t old_report_ms; /* when the next of old_reports is due; 0 for none */
 };
@@ -465,6 +467,7 @@
 	const char *crash = json_string_value(json_object_get(in, "crash"));
 	const char *mute = json_string_value(json_object_get(in, "mute"));
 	const char *gone = json_string_value(json_object_get(in, "gone"));
+	const char *quiet = json_string_value(json_object_get(in, "quiet"));
 	const char *resize = json_string_value(json_object_get(in, "resize"));
 	const char *old_reports = json_string_value(json_object_get(in, "old_reports"));
 	json_t *started = json_object();
@@ -489,6 +492,8 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
+		if (quiet != NULL)
+			w->quiet = strcmp(quiet, w->name) == 0;
 		if (old_reports != NULL)
 			w->old_reports = strcmp(old_reports, w->name) == 0;
 		if (resize != NULL && strcmp(resize, w->name) == 0)
@@ -845,7 +850,7 @@
 			else if (r->remaining_ms <= 0)
 				run_end(w, r, "done");
 		}
-		if (!w->gone && now_ms() >= w->next_heartbeat_ms) {
+		if (!w->gone && !w->quiet && now_ms() >= w->next_heartbeat_ms) {
 			w->next_heartbeat_ms = now_ms() + HEARTBEAT_PERIOD / NSEC_PER_MSEC;
 			send_heartbeat(
 				w, w->instance_started_at, ++w->sequence, w->accelerators);
