agent: acknowledge no ends after a renewal without an answer

Cause: ends are numbered from 1 in each life. A renewal tells the worker up to which number it may forget them. While the worker comes back under its id and its answers are lost, that number is of the life before, and the new life forgets an end that nobody has seen: that of a start that was carried out late. This was guarded only while a start had no answer, not for one whose repetition was answered.

Change: after a renewal that the current life hasn't answered, the next one acknowledges nothing. The first answer shows which life it is.

Tried first with a task that had ended before the crash: the late start then runs again on the mute life before any call with a higher token can reach it; that stays open (docs/PLATFORM.md, Questions).

--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -84,6 +84,7 @@
 	 */
 	bool renewal_pending;
 	bool renewal_granted;		  /* it has a deadline */
+	bool renewal_answered;		  /* by the current instance, the last one */
 	uint64_t renewal_settled_ordinal; /* worker_settled_ordinal when it was sent */
 	int64_t renewal_sent_at;
 	struct loop_timer *renewal_timer;
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -282,6 +282,8 @@
 		observe_reply(w, wc, &r);
 		if (r.kind == PF_REPLY_FENCED)
 			worker_handle_fenced(w, wc);
+		w->renewal_answered =
+			r.kind == PF_REPLY_OK && wc->instance_count == w->instance_count;
 		if (r.kind == PF_REPLY_OK)
 			process_lists(w, wc, &r);
 		/*
@@ -301,13 +303,13 @@
 }
 
 /*
- * The number up to which the worker may forget ended runs. A start without an answer may have
- * reached a new instance with the same id that is not known here yet. That instance numbers its
- * ends from 1 again, so none are acknowledged while a start is pending.
+ * The number up to which the worker may forget ended runs. A new instance with the same id that
+ * is not known here yet numbers its ends from 1 again. So none are acknowledged while a start
+ * without an answer may have reached such an instance, or after a renewal without an answer.
  */
 static uint64_t ends_to_acknowledge(const struct wl_worker *w)
 {
-	return w->pending_starts->len > 0 ? 0 : w->ends_stored;
+	return w->pending_starts->len > 0 || !w->renewal_answered ? 0 : w->ends_stored;
 }
 
 /*
