workload: worker crashes are logged with the runs that had just started

What callers saw: nothing.

Change: events worker-crash and crash-suspect, counters of crashes and suspects. No decision changes.

--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -183,8 +183,10 @@
 /* Resets the state of a worker whose process has started again; its earlier runs are lost. */
 static void start_new_instance(struct wl_node *n, int64_t now, const char *worker_instance)
 {
-	if (n->instance_id != NULL)
+	if (n->instance_id != NULL) {
+		crash_record(n, now);
 		node_drop_runs(n, now, "the worker has restarted");
+	}
 	set_string(&n->instance_id, worker_instance);
 	n->wl->racks_stale = true;
 	n->last_end_processed = 0;
@@ -389,6 +391,7 @@
 		}
 		task_confirm_running(t, now);
 		t->seen_serial = n->report_serial;
+		crash_record_listed(t, r->sent_ns);
 		task_record_progress(t, now, r->sent_ns, run->percent);
 		idle += task_is_idle(t, NO_PROGRESS_AFTER);
 		moving += t->listed_ns == t->progress_ns && t->percent > 0;
@@ -483,6 +486,7 @@
 		start_new_instance(n, now, r->worker_instance);
 	update_node_state(n, now, r);
 	n->linked = true;
+	n->agent_away = false;
 	n->last_contact_at = now;
 	n->last_report_at = now;
 	n->report_serial++;
@@ -515,6 +519,7 @@
 	if (n == NULL || !n->linked)
 		return;
 	n->linked = false;
+	n->agent_away = true;
 	n->last_contact_at = now;
 	event_log(EV_WORKER_SILENT, "node=%s life=%s until_ms=%" PRId64, n->name,
 		n->instance_id ? n->instance_id : "-", w->limits.silence_max / NSEC_PER_MSEC);
@@ -663,6 +668,7 @@
 
 	if (n == NULL)
 		return;
+	n->agent_away = true;
 	n->last_end_acked = 0;
 	node_ack_ends(n);
 }
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -87,6 +87,9 @@
 	 */
 	uint64_t listed_ns;
 	uint64_t progress_ns;
+	/* Since when the run has been listed, and whether for long enough; see wl-crash.c. */
+	uint64_t proof_since_ns;
+	bool proven;
 	/*
 	 * Progress and time from which the progress rate is measured: 0 percent at running_at,
 	 * or for a run resumed from a checkpoint, which does not start at 0 percent, those of
@@ -216,6 +219,8 @@
 	struct wl_resources capacity;
 	bool awaiting_report; /* may run tasks of an earlier coordinator; no report yet */
 	bool linked;	      /* its agent is connected */
+	/* Its agent has been disconnected or has connected anew since the last report. */
+	bool agent_away;
 	bool draining;
 	bool has_left; /* wl_report.left of the last report */
 	int64_t drain_until;
@@ -424,6 +429,10 @@
 bool probation_applies(const struct wl_node *n, int64_t now);
 bool probation_allows(const struct wl_node *n, const struct wl_unit *u, int64_t now);
 
+/* wl-crash.c */
+void crash_record_listed(struct wl_task *t, uint64_t requested_ns);
+void crash_record(struct wl_node *n, int64_t now);
+
 /* wl-speed.c */
 void speed_record(struct wl_node *n, struct wl_unit *u, int64_t duration);
 void speed_reset(struct wl_node *n);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -55,6 +55,8 @@
 	t->percent_at = 0;
 	t->listed_ns = 0;
 	t->progress_ns = 0;
+	t->proof_since_ns = 0;
+	t->proven = false;
 	t->base_percent = 0;
 	t->base_at = 0;
 	t->measurement = 0;
