workload: a task that crashes its workers is given up

Cause: a crash has no end that could be counted. Tasks lost with a worker were "of unknown outcome" and started again at once, without limit, beside other runs. Class: a retry without a budget, because only explicit failures were counted.

Change (wl-crash.c): a worker's crash is held against the runs that it had not yet listed for a while. A suspected task starts next where no other run is unproven, and nothing starts beside it until it is proven; if there is no such worker, one is held for it. A second crash on another worker, by a run that the worker had answered and with no other suspect, fails the job, unless three workers crashed within half a second; otherwise the third does. A proven run clears the task. Nothing is counted if the worker's agent was away as well (power loss, partition). Members of a gang are counted each, and isolated as a whole. The counts are in the tasks' stored marks (two fields at the end; older records are read as no crashes). Half of the workers are never isolated or held, and a unit kept off such workers for 3 s may use them.

Tests: unit suite "crash", regress/platform "a task crashes each worker".

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -30,9 +30,9 @@
 	"a worker's agent is out of reach")
 EVENT(EV_WORKER_GONE, "worker-gone", "node life why tasks",
 	"a worker's tasks are proved not to run")
-EVENT(EV_WORKER_CRASH, "worker-crash", "node life agent_away tasks suspects",
-	"a worker's process has started again")
-EVENT(EV_CRASH_SUSPECT, "crash-suspect", "task attempt node answered age_ms",
+EVENT(EV_WORKER_CRASH, "worker-crash", "node life why agent_away tasks suspects",
+	"a worker was lost with its runs")
+EVENT(EV_CRASH_SUSPECT, "crash-suspect", "task attempt node answered age_ms single crashes",
 	"a run had just started when its worker crashed")
 EVENT(EV_WORKER_LOST, "worker-lost", "life silent_ms",
 	"an agent's worker is silent and its leases have run out")
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -13,7 +13,8 @@
  * standin-platform STORE CONFIG [door=ADDR] WORKER=APP,CONTROL ...
  *
  * door=ADDR opens a second address of the store. The payload of a task is
- * "MILLISECONDS ACCELERATORS". POST /control on the store injects faults. All fields are
+ * "MILLISECONDS ACCELERATORS", or "crash": the worker crashes just after the start and is down
+ * for a while. POST /control on the store injects faults. All fields are
  * optional:
  *
  *   {"down":true}        the store answers 503 to every call, and leases don't expire
@@ -47,6 +48,8 @@
 
 #define ACCELERATORS	      8	   /* of each worker */
 #define MUTE_CRASH_SILENCE_MS 2500 /* after a mute worker crashes, until its heartbeat */
+#define CRASH_DELAY_MS	      10   /* from the start of a task that crashes its worker */
+#define CRASH_DOWN_MS	      1500 /* until the worker is back */
 #define STOP_DURATION_MS      100  /* from a stop call until the run ends */
 #define OLD_REPORT_DELAY_MS   60   /* of a report of old_reports after a heartbeat */
 #define START_DELAY_MS	      2500 /* of the starts that late_orders delays */
@@ -100,6 +103,8 @@
 	json_int_t accelerators;
 	int64_t sequence;
 	int64_t next_heartbeat_ms;
+	int64_t crash_at_ms; /* 0 for never */
+	int64_t down_until_ms;
 	int64_t lease_until_ms;
 	json_int_t fence;
 	json_int_t last_end;
@@ -261,7 +266,9 @@
 {
 	if (json_array_size(w->worker->finished) == 0 && now_ms() < w->until_ms)
 		return false;
-	if (renewal_answers_to_drop > 0)
+	if (now_ms() < w->worker->down_until_ms)
+		http_reply(w->request, 500, NULL, "", 0);
+	else if (renewal_answers_to_drop > 0)
 		renewal_answers_to_drop--;
 	else
 		worker_reply(w->worker, w->request, 200, worker_json(w->worker));
@@ -678,6 +685,10 @@
 	r->remaining_ms = g_ascii_strtoll(
 		json_string_value(json_object_get(in, "spec")), &accelerators, 10);
 	r->accelerators = g_ascii_strtoll(accelerators, NULL, 10);
+	if (strcmp(json_string_value(json_object_get(in, "spec")), "crash") == 0) {
+		r->remaining_ms = CRASH_DOWN_MS;
+		w->crash_at_ms = now_ms() + CRASH_DELAY_MS;
+	}
 	g_ptr_array_add(w->runs, r);
 	w->started++;
 	w->lease_until_ms =
@@ -747,7 +758,7 @@
 	const char *path = http_path(q);
 
 	free(arg);
-	if (w->gone) {
+	if (w->gone || now_ms() < w->down_until_ms) {
 		http_reply(q, 500, NULL, "", 0);
 	} else if (fence < w->fence) {
 		worker_reply(w, q, 409,
@@ -836,6 +847,12 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
+		if (w->crash_at_ms != 0 && now_ms() >= w->crash_at_ms) {
+			worker_crash(w);
+			w->crash_at_ms = 0;
+			w->down_until_ms = now_ms() + CRASH_DOWN_MS;
+			w->instance_started_at = w->down_until_ms + born_offset_ms;
+		}
 		for (guint k = w->runs->len; k > 0; k--) {
 			struct run *r = w->runs->pdata[k - 1];
 
@@ -847,7 +864,8 @@
 			else if (r->remaining_ms <= 0)
 				run_end(w, r, "done");
 		}
-		if (!w->gone && !w->quiet && now_ms() >= w->next_heartbeat_ms) {
+		if (!w->gone && !w->quiet &&
+			now_ms() >= MAX(w->next_heartbeat_ms, w->down_until_ms)) {
 			w->next_heartbeat_ms = now_ms() + HEARTBEAT_PERIOD / NSEC_PER_MSEC;
 			send_heartbeat(
 				w, w->instance_started_at, ++w->sequence, w->accelerators);
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -168,6 +168,14 @@
 	t->unit->waiting_count--;
 }
 
+/* Restores the crashes of a task from its stored mark. */
+static void apply_crashes(struct wl_task *t, const struct wl_mark *m)
+{
+	t->unit->crashed_tasks += (m->crashes > 0) - (t->crashes.count > 0);
+	t->crashes.count = m->crashes;
+	t->crashes.attempt = m->crashed_attempt;
+}
+
 /* Applies a stored mark to its unit or task; the occurrence must have been opened. */
 static void apply_mark(struct wl_job *j, const struct wl_mark *m)
 {
@@ -197,6 +205,7 @@
 		return;
 	u->tasks[m->index].failures = m->failures;
 	u->tasks[m->index].failed_attempt = m->failed_attempt;
+	apply_crashes(&u->tasks[m->index], m);
 	if (m->checkpoint != NULL)
 		g_strlcpy(u->tasks[m->index].checkpoint, m->checkpoint,
 			sizeof(u->tasks[m->index].checkpoint));
@@ -273,14 +282,15 @@
 		job_finish(j, now, wall, WL_CANCELLED, "cancelled by its caller");
 }
 
-/* Appends a mark if it records a completion, failures, a checkpoint or a node. */
+/* Appends a mark if it records a completion, failures, crashes, a checkpoint or a node. */
 static void append_mark(GArray *marks, const struct wl_mark *m)
 {
 	struct wl_mark copy = *m;
 
 	if (m->done || (m->checkpoint != NULL && *m->checkpoint == '\0'))
 		copy.checkpoint = NULL;
-	if (m->done || m->failures > 0 || copy.checkpoint != NULL || m->node != NULL)
+	if (m->done || m->failures > 0 || m->crashes > 0 || copy.checkpoint != NULL ||
+		m->node != NULL)
 		g_array_append_val(marks, copy);
 }
 
@@ -314,6 +324,8 @@
 		m.done = t->phase == TASK_DONE;
 		m.failures = u->step->gang ? 0 : t->failures;
 		m.failed_attempt = t->failed_attempt;
+		m.crashes = t->crashes.count;
+		m.crashed_attempt = t->crashes.attempt;
 		m.checkpoint = u->step->gang ? NULL : t->checkpoint;
 		m.node = task_node_name(t);
 		m.attempt = t->attempt;
@@ -477,6 +489,7 @@
 	w->no_nodes = g_ptr_array_new();
 	w->usages = g_array_new(FALSE, TRUE, sizeof(struct wl_usage));
 	w->demands = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, org_demand_free);
+	w->pending_failures = pending_failures_new();
 	TAILQ_INIT(&w->list);
 	return w;
 }
@@ -505,6 +518,7 @@
 	g_ptr_array_unref(w->racks);
 	g_ptr_array_unref(w->no_nodes);
 	g_array_unref(w->usages);
+	g_array_unref(w->pending_failures);
 	g_hash_table_destroy(w->nodes_by_name);
 	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
 		TAILQ_REMOVE(&w->list, j, entry);
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -58,6 +58,8 @@
 	TEXT(wl_mark, checkpoint),
 	TEXT(wl_mark, node),
 	U32(wl_mark, attempt),
+	U32(wl_mark, crashes),
+	U32(wl_mark, crashed_attempt),
 };
 static const struct field_table wl_mark_fields = TABLE(wl_mark);
 
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -183,10 +183,10 @@
 /* Resets the state of a worker whose process has started again; its earlier runs are lost. */
 static void start_new_instance(struct wl_node *n, int64_t now, const char *worker_instance)
 {
-	if (n->instance_id != NULL) {
-		crash_record(n, now);
+	if (n->instance_id != NULL && n->has_left)
 		node_drop_runs(n, now, "the worker has restarted");
-	}
+	else if (n->instance_id != NULL)
+		crash_lose_worker(n, now, "the worker has restarted", true);
 	set_string(&n->instance_id, worker_instance);
 	n->wl->racks_stale = true;
 	n->last_end_processed = 0;
@@ -495,8 +495,10 @@
 	node_release_unconfirmed(n, now);
 	handle_missing_runs(n, now, r);
 	check_overbooked(n, &capacity);
-	if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
+	if (r->left && TAILQ_FIRST(&n->tasks) != NULL && r->draining)
 		node_drop_runs(n, now, "the worker has left");
+	else if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
+		crash_lose_worker(n, now, "the worker is gone without notice", false);
 	if (node_usable(n, now) != was_usable ||
 		memcmp(&capacity, &n->capacity, sizeof(capacity)) != 0)
 		w->changed = true;
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -34,10 +34,12 @@
 /* Computes the free resources of each worker, and whether it accepts new tasks. */
 static void compute_available(struct wl *w, int64_t now)
 {
+	w->isolated_nodes = 0;
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct wl_node *n = w->nodes->pdata[i];
 		struct wl_task *t;
 
+		w->isolated_nodes += node_is_isolated(n, now);
 		n->free = (struct wl_available){.cores_m = n->capacity.cores_m,
 			.memory_mb = n->capacity.memory_mb,
 			.accelerators = n->capacity.accelerators};
@@ -209,6 +211,7 @@
 			j->spec.id, u->occurrence, u->step_index, t->index, t->attempt,
 			p->node->name, t->checkpoint, (now - t->waiting_since) / NSEC_PER_MSEC);
 	}
+	crash_release(u);
 	if (j->state == WL_QUEUED)
 		j->state = WL_RUNNING;
 	job_request_store(j, WL_STORE_NOW);
@@ -358,6 +361,7 @@
 	w->changed = false;
 	w->pass_at = now;
 	health_check(w, now);
+	crash_give_up_jobs(w, now, wall);
 	compute_available(w, now);
 	usage_compute(w);
 	TAILQ_FOREACH(j, &w->list, entry) {
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -80,6 +80,7 @@
 	double unreliability;
 	int64_t off_rack;
 	int64_t unsuited; /* slow for a gang member, not slow for a task by itself */
+	int64_t at_risk;  /* cores in use beside a task that may crash the worker */
 	int64_t accelerators_left;
 	int64_t cores_left;
 };
@@ -93,11 +94,15 @@
 	return (struct place_cost){.unreliability = score > FAILURE_SCORE_AVOID ? score : 0,
 		.off_rack = data_rack != NULL && data_rack != n->rack,
 		.unsuited = node_is_slow(n) == t->unit->step->gang,
+		.at_risk = task_is_suspect(t) ? n->capacity.cores_m - r->cores_m : 0,
 		.accelerators_left = r->accelerators - need->accelerators,
 		.cores_left = r->cores_m - need->cores_m};
 }
 
-/* Prefers reliable workers, then the rack of the data, then speed, then the tightest fit. */
+/*
+ * Prefers reliable workers, then the rack of the data, then speed, then, for a task that may
+ * crash the worker, where little else runs, then the tightest fit.
+ */
 static bool cost_is_lower(const struct place_cost *a, const struct place_cost *b)
 {
 	if (a->unreliability != b->unreliability)
@@ -106,6 +111,8 @@
 		return a->off_rack < b->off_rack;
 	if (a->unsuited != b->unsuited)
 		return a->unsuited < b->unsuited;
+	if (a->at_risk != b->at_risk)
+		return a->at_risk < b->at_risk;
 	if (a->accelerators_left != b->accelerators_left)
 		return a->accelerators_left < b->accelerators_left;
 	return a->cores_left < b->cores_left;
@@ -151,9 +158,12 @@
 	return a->position < b->position ? -1 : 1;
 }
 
-/* The workers of a rack, or of all if it is NULL, that fit a task; cheapest first. */
+/*
+ * The workers of a rack, or of all if it is NULL, that fit a task; cheapest first. If others
+ * would fit but for crash_allows, sets held to the one with the fewest runs to be proven.
+ */
 static GArray *list_options(struct wl *w, const struct wl_task *t, int64_t now,
-	enum placement_view view, const char *rack, const GArray *plan)
+	enum placement_view view, const char *rack, const GArray *plan, struct wl_node **held)
 {
 	struct wl_resources need = task_need(t->unit->step);
 	const GPtrArray *nodes = rack_nodes(w, rack);
@@ -168,6 +178,12 @@
 			!respects_reservation(n, t, &need, now) ||
 			!below_worker_limit(t->unit, n, plan))
 			continue;
+		if (!crash_allows(n, t, plan, now)) {
+			if (*held == NULL || node_is_isolated(*held, now) ||
+				(!node_is_isolated(n, now) && n->unproven < (*held)->unproven))
+				*held = n;
+			continue;
+		}
 		o.cost = compute_cost(n, r, t, &need, now);
 		g_array_append_val(out, o);
 	}
@@ -190,7 +206,8 @@
 /*
  * Plans the waiting tasks of a unit; returns how many were placed. All tasks request the same,
  * and a worker that takes one is a tighter fit for the next: each worker is filled before the
- * next cheapest one is used. Tasks that avoid different workers are listed anew each.
+ * next cheapest one is used. The workers are listed anew for tasks that avoid another one, and
+ * for those that may crash their worker, which start by themselves.
  */
 static uint32_t place_tasks(struct wl *w, struct wl_unit *u, int64_t now,
 	enum placement_view view, const char *rack, GArray *out)
@@ -198,17 +215,22 @@
 	struct wl_resources need = task_need(u->step);
 	g_autoptr(GArray) options = NULL;
 	const struct wl_node *avoided = NULL;
+	bool isolated = false;
+	struct wl_node *held = NULL;
 	uint32_t placed = 0;
 	uint32_t index = 0;
 	guint next = 0;
 	struct placement p;
 
 	while ((p.task = next_waiting(u, &index)) != NULL) {
-		if (options == NULL || p.task->avoid_node != avoided) {
+		bool suspect = !u->step->gang && task_is_suspect(p.task);
+
+		if (options == NULL || p.task->avoid_node != avoided || suspect || isolated) {
 			if (options != NULL)
 				g_array_unref(options);
-			options = list_options(w, p.task, now, view, rack, out);
+			options = list_options(w, p.task, now, view, rack, out, &held);
 			avoided = p.task->avoid_node;
+			isolated = suspect;
 			next = 0;
 		}
 		for (p.node = NULL; next < options->len; next++) {
@@ -218,6 +240,8 @@
 				break;
 			p.node = NULL;
 		}
+		if (p.node == NULL && held != NULL)
+			crash_hold(p.task, held, now);
 		if (p.node == NULL)
 			break;
 		resources_deduct(available_on(p.node, view), &need);
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -51,6 +51,13 @@
 struct wl_unit;
 struct wl_node;
 
+/* Workers that crashed when a task had just started; see wl-crash.c. */
+struct wl_crashes {
+	uint32_t count;	  /* since the last proven run */
+	uint32_t attempt; /* last attempt that was counted */
+	const struct wl_node *node;
+};
+
 struct wl_task {
 	struct wl_unit *unit;
 	uint32_t index;
@@ -59,6 +66,7 @@
 	uint32_t attempt;
 	uint32_t failures;
 	uint32_t failed_attempt; /* last attempt that was counted in failures */
+	struct wl_crashes crashes;
 	char checkpoint[WL_CHECKPOINT_MAX + 1];
 	/*
 	 * Node of the current run, set until the run is known to have ended: while it is being
@@ -90,6 +98,7 @@
 	/* Since when the run has been listed, and whether for long enough; see wl-crash.c. */
 	uint64_t proof_since_ns;
 	bool proven;
+	bool isolated; /* nothing starts beside the run until it is proven */
 	/*
 	 * Progress and time from which the progress rate is measured: 0 percent at running_at,
 	 * or for a run resumed from a checkpoint, which does not start at 0 percent, those of
@@ -124,6 +133,11 @@
 	/* Gangs only: failed attempts of the whole gang, and the last one that was counted. */
 	uint32_t failures;
 	uint32_t failed_attempt;
+	uint32_t crashed_tasks; /* tasks with crashes */
+	/* Since when, and when last, crash_allows kept its tasks off workers; 0 for never. */
+	int64_t excluded_since;
+	int64_t excluded_at;
+	int64_t hold_until; /* 0, or workers may be held for it until this time */
 	int64_t ready_at;
 	/*
 	 * No waiting task of the unit is placed before this time. Each counted failure of one
@@ -235,7 +249,12 @@
 	int64_t probation_since;
 	int64_t probation_pause_until;
 	unsigned int probation_runs; /* failures at the start in a row, up to 4 */
-	unsigned int refusals;	     /* starts refused since the last one that was confirmed */
+	unsigned int unproven;	     /* runs that have just started, see wl-crash.c */
+	unsigned int isolated;	     /* of these, runs beside which nothing may start */
+	/* Held for a suspected task of this unit; the unit may be gone. */
+	const struct wl_unit *held_for;
+	int64_t held_until;
+	unsigned int refusals; /* starts refused since the last one that was confirmed */
 	/*
 	 * The last report listed runs that should have made progress, and none had. May be the
 	 * fault of another worker, if they are all members of gangs.
@@ -319,7 +338,12 @@
 	int64_t urgent_rate_at;
 	/* Something changed since the last pass that may allow a task to start. */
 	bool changed;
-	int64_t pass_at; /* time of the present pass */
+	int64_t pass_at;	     /* time of the present pass */
+	unsigned int isolated_nodes; /* reserved for suspected tasks, see wl-crash.c */
+	/* Times of the last crashes of workers, by their number in order. */
+	int64_t crash_times[8];
+	unsigned int crashes;
+	GArray *pending_failures; /* jobs to be given up, see wl-crash.c */
 	/* Whether the unit that is being placed may use headroom workers. */
 	bool may_use_headroom;
 };
@@ -430,8 +454,18 @@
 bool probation_allows(const struct wl_node *n, const struct wl_unit *u, int64_t now);
 
 /* wl-crash.c */
+void crash_task_attached(struct wl_task *t);
+void crash_task_detached(struct wl_task *t);
 void crash_record_listed(struct wl_task *t, uint64_t requested_ns);
-void crash_record(struct wl_node *n, int64_t now);
+void crash_lose_worker(struct wl_node *n, int64_t now, const char *why, bool crashed);
+void crash_give_up_jobs(struct wl *w, int64_t now, int64_t wall);
+GArray *pending_failures_new(void);
+bool crash_allows(
+	const struct wl_node *n, const struct wl_task *t, const GArray *plan, int64_t now);
+bool task_is_suspect(const struct wl_task *t);
+void crash_hold(const struct wl_task *t, struct wl_node *n, int64_t now);
+void crash_release(struct wl_unit *u);
+bool node_is_isolated(const struct wl_node *n, int64_t now);
 
 /* wl-speed.c */
 void speed_record(struct wl_node *n, struct wl_unit *u, int64_t duration);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -37,6 +37,7 @@
 	t->attempt = attempt;
 	t->unit->attempt = MAX(t->unit->attempt, attempt);
 	TAILQ_INSERT_TAIL(&n->tasks, t, on_node);
+	crash_task_attached(t);
 }
 
 /*
@@ -45,6 +46,7 @@
  */
 void task_detach(struct wl_task *t, int64_t now, const char *why)
 {
+	crash_task_detached(t);
 	if (t->node != NULL)
 		TAILQ_REMOVE(&t->node->tasks, t, on_node);
 	t->released_why = why;
@@ -55,8 +57,6 @@
 	t->percent_at = 0;
 	t->listed_ns = 0;
 	t->progress_ns = 0;
-	t->proof_since_ns = 0;
-	t->proven = false;
 	t->base_percent = 0;
 	t->base_at = 0;
 	t->measurement = 0;
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -93,6 +93,9 @@
 	/* Node and attempt of the current run; stored before the start order is sent. */
 	char *node;
 	uint32_t attempt;
+	/* Workers that crashed when it had just started, and the last attempt counted. */
+	uint32_t crashes;
+	uint32_t crashed_attempt;
 };
 
 /* Stored progress of a job. */
--- a/tests/unit/workload-fixture.c
+++ b/tests/unit/workload-fixture.c
@@ -8,6 +8,14 @@
 	struct fixture *f = arg;
 
 	f->starts += o->starts_len;
+	for (uint32_t i = 0; i < o->starts_len; i++) {
+		struct started s = {
+			.attempt = o->starts[i].attempt, .ordinal = o->starts[i].ordinal};
+
+		g_strlcpy(s.task, o->starts[i].task, sizeof(s.task));
+		g_strlcpy(s.node, node, sizeof(s.node));
+		g_array_append_val(f->started, s);
+	}
 	g_strlcpy(f->last_start, o->starts[o->starts_len - 1].task, sizeof(f->last_start));
 	f->last_attempt = o->starts[o->starts_len - 1].attempt;
 	f->ordinal = o->starts[o->starts_len - 1].ordinal;
@@ -20,6 +28,7 @@
 
 	(void)node;
 	f->stops++;
+	g_ptr_array_add(f->stopped, g_strdup(o->task));
 	g_strlcpy(f->last_stop, o->task, sizeof(f->last_stop));
 }
 
@@ -97,6 +106,8 @@
 
 	memset(f, 0, sizeof(*f));
 	f->now = 100 * SEC;
+	f->started = g_array_new(FALSE, FALSE, sizeof(struct started));
+	f->stopped = g_ptr_array_new_with_free_func(g_free);
 	f->dirty = g_ptr_array_new_with_free_func(g_free);
 	f->config = wl_config_new();
 	add_queue(f, "urgent", 0, 1.5);
@@ -113,6 +124,8 @@
 {
 	wl_free(f->wl);
 	wl_config_free(f->config);
+	g_array_unref(f->started);
+	g_ptr_array_unref(f->stopped);
 	g_ptr_array_unref(f->dirty);
 }
 
--- a/tests/unit/workload-fixture.h
+++ b/tests/unit/workload-fixture.h
@@ -9,11 +9,20 @@
 #define MS  NSEC_PER_MSEC
 #define SEC NSEC_PER_SEC
 
+/* A start that the core has ordered. */
+struct started {
+	char task[80];
+	char node[16];
+	uint32_t attempt;
+	uint64_t ordinal;
+};
+
 /* A scheduler core, a simulated store, and the orders that the core has sent. */
 struct fixture {
 	struct wl *wl;
 	struct wl_config *config;
-	int64_t now; /* monotonic time; also passed as the wall clock */
+	int64_t now;	    /* monotonic time; also passed as the wall clock */
+	GPtrArray *stopped; /* names of the tasks that were ordered to stop */
 	unsigned int starts;
 	unsigned int stops;
 	uint64_t ordinal;
@@ -21,7 +30,8 @@
 	char last_node[16];
 	char last_stop[80];
 	uint32_t last_attempt;
-	uint64_t acked; /* highest finished run that a worker was told to forget */
+	GArray *started; /* all starts, of struct started */
+	uint64_t acked;	 /* highest finished run that a worker was told to forget */
 	unsigned int acks;
 	GPtrArray *dirty; /* ids of jobs whose progress must be stored */
 	bool store_down;
