core: take back placements that a worker has no room for before they are sent

Cause: a placement is made, stored, and then sent as soon as it is stored, however late. A worker that had reported less room, or that it leaves, in between still got the start.

Change: with each report of a worker, placements whose start has not been sent are taken back, the last ones first, while the worker leaves or has less room than they and its runs use; a gang as a whole. Each is logged (task-unplaced).

Evidence: unit tests "worker that shrinks or leaves" (3 of 4 cases failed on the code before) and "worker that shrinks: no start of a gang" (2 starts instead of none); all pass now.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -53,6 +53,8 @@
 EVENT(EV_JOB_END, "job-end", "job state why", "a job has ended")
 EVENT(EV_TASK_START, "task-start", "task attempt node checkpoint waited_ms",
 	"a task was placed")
+EVENT(EV_TASK_UNPLACED, "task-unplaced", "task attempt node why",
+	"a placement was taken back before its start was sent")
 EVENT(EV_TASK_RUN, "task-run", "task attempt node answer", "a worker answered a start")
 EVENT(EV_START_UNSURE, "start-unsure", "task attempt sends again",
 	"a worker did not answer a start")
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -171,6 +171,27 @@
 	       now - n->last_report_at <= REPORT_AGE_MAX;
 }
 
+/*
+ * The resources of a worker that no run or placement uses. What is being stopped still uses
+ * them. Negative after the capacity has shrunk below what is in use.
+ */
+struct wl_available node_available(const struct wl_node *n)
+{
+	struct wl_available free = {.cores_m = n->capacity.cores_m,
+		.memory_mb = n->capacity.memory_mb,
+		.accelerators = n->capacity.accelerators};
+	const struct wl_task *t;
+
+	TAILQ_FOREACH(t, &n->tasks, on_node) {
+		struct wl_resources need = task_need(t->unit->step);
+
+		resources_deduct(&free, &need);
+	}
+	for (guint i = 0; i < n->orphans->len; i++)
+		resources_deduct(&free, &((struct wl_orphan *)n->orphans->pdata[i])->need);
+	return free;
+}
+
 /* Replaces a string by a copy of another. */
 static void set_string(char **to, const char *from)
 {
@@ -443,20 +464,10 @@
  */
 static void check_overbooked(struct wl_node *n, const struct wl_resources *before)
 {
-	struct wl_available left = {.cores_m = n->capacity.cores_m,
-		.memory_mb = n->capacity.memory_mb,
-		.accelerators = n->capacity.accelerators};
 	const struct wl_resources none = {0};
-	struct wl_task *t;
+	struct wl_available left = node_available(n);
 	bool was = n->overbooked;
 
-	TAILQ_FOREACH(t, &n->tasks, on_node) {
-		struct wl_resources need = task_need(t->unit->step);
-
-		resources_deduct(&left, &need);
-	}
-	for (guint i = 0; i < n->orphans->len; i++)
-		resources_deduct(&left, &((struct wl_orphan *)n->orphans->pdata[i])->need);
 	n->overbooked = !resources_fit(&left, &none);
 	if (!n->overbooked || was)
 		return;
@@ -468,6 +479,43 @@
 		left.accelerators, before->accelerators, before->cores_m, n->capacity.cores_m);
 }
 
+/* Returns the task that was placed last on a worker and whose start has not been sent. */
+static struct wl_task *last_unsent_task(const struct wl_node *n)
+{
+	struct wl_task *last = NULL;
+	struct wl_task *t;
+
+	TAILQ_FOREACH(t, &n->tasks, on_node) {
+		if (t->phase == TASK_PLACED)
+			last = t;
+	}
+	return last;
+}
+
+/*
+ * Takes back placements whose starts have not been sent, the last ones first, from a worker
+ * that is leaving or has less room than they and its runs use. A gang is taken back as a whole.
+ */
+static void release_unsent_tasks(struct wl_node *n, int64_t now)
+{
+	const struct wl_resources nothing = {0};
+	struct wl_task *t;
+
+	while ((t = last_unsent_task(n)) != NULL) {
+		struct wl_available free = node_available(n);
+		struct wl_unit *u = t->unit;
+
+		if (!n->draining && !n->has_left && resources_fit(&free, &nothing))
+			return;
+		event_log(EV_TASK_UNPLACED, "task=%s.%u.%u.%u attempt=%u node=%s why=%s",
+			u->job->spec.id, u->occurrence, u->step_index, t->index, t->attempt,
+			n->name, n->draining || n->has_left ? "leaving" : "shrunk");
+		task_detach(t, now, "taken back");
+		if (u->step->gang)
+			unit_stop(u, now, "a gang member has no room", NULL);
+	}
+}
+
 /* Handles a report, which holds the complete state and lists of a worker. */
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r)
 {
@@ -495,6 +543,7 @@
 	node_release_unconfirmed(n, now);
 	handle_missing_runs(n, now, r);
 	check_overbooked(n, &capacity);
+	release_unsent_tasks(n, now);
 	if (r->left && TAILQ_FIRST(&n->tasks) != NULL && r->draining)
 		node_drop_runs(n, now, "the worker has left");
 	else if (r->left && TAILQ_FIRST(&n->tasks) != NULL)
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -40,22 +40,18 @@
 		struct wl_task *t;
 
 		w->isolated_nodes += node_is_isolated(n, now);
-		n->free = (struct wl_available){.cores_m = n->capacity.cores_m,
+		n->free = node_available(n);
+		n->free_after_stops = (struct wl_available){.cores_m = n->capacity.cores_m,
 			.memory_mb = n->capacity.memory_mb,
 			.accelerators = n->capacity.accelerators};
-		n->free_after_stops = n->free;
 		n->usable = node_usable(n, now);
 		n->reserved_from = 0;
 		TAILQ_FOREACH(t, &n->tasks, on_node) {
 			struct wl_resources need = task_need(t->unit->step);
 
-			resources_deduct(&n->free, &need);
 			if (t->phase != TASK_STOPPING && t->phase != TASK_DONE)
 				resources_deduct(&n->free_after_stops, &need);
 		}
-		for (guint k = 0; k < n->orphans->len; k++)
-			resources_deduct(
-				&n->free, &((struct wl_orphan *)n->orphans->pdata[k])->need);
 	}
 }
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -384,6 +384,7 @@
 /* wl-node.c */
 struct wl_node *node_find(const struct wl *w, const char *name);
 void node_drop_runs(struct wl_node *n, int64_t now, const char *why);
+struct wl_available node_available(const struct wl_node *n);
 bool node_usable(const struct wl_node *n, int64_t now);
 double node_failure_score(const struct wl_node *n, int64_t now);
 double node_unreliability(const struct wl_node *n, int64_t now);
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -341,6 +341,79 @@
 	fixture_clear(&f);
 }
 
+/* Reports a worker without runs whose capacity and drain state have changed. */
+static void report_state(
+	struct fixture *f, const char *node, uint32_t accelerators, bool draining)
+{
+	char instance[32];
+	const struct wl_report r = {.node = (char *)node,
+		.worker_instance = instance,
+		.service = (char *)"s",
+		.rack = (char *)"r1",
+		.cores_m = 32000,
+		.memory_mb = 64000,
+		.accelerators = accelerators,
+		.draining = draining,
+		.leaves_in_ms = 2000,
+		.covers = f->ordinal};
+
+	snprintf(instance, sizeof(instance), "%s@1", node);
+	wl_node_report(f->wl, f->now, f->now, &r);
+}
+
+/*
+ * Worker that shrinks, or begins to leave, while a placement on it waits for the store: it must
+ * not get a start that it has no room for any more. Tasks that still fit are started.
+ */
+static void test_placement_outlives_its_room(void)
+{
+	static const struct {
+		uint32_t accelerators;
+		bool draining;
+		unsigned int starts;
+	} cases[] = {{8, false, 2}, {7, false, 1}, {3, false, 0}, {8, true, 0}};
+
+	for (size_t i = 0; i < ARRAY_LEN(cases); i++) {
+		struct fixture f;
+
+		fixture_init(&f);
+		report_worker(&f, "w1", NULL, 0, NULL, 0);
+		f.store_down = true;
+		submit_job(&f, 1, "batch", 2, 4, 1000, false);
+		run_pass(&f);
+		report_state(&f, "w1", cases[i].accelerators, cases[i].draining);
+		f.store_down = false;
+		store_dirty_jobs(&f);
+		CU_ASSERT_EQUAL(f.starts, cases[i].starts);
+		CU_ASSERT_EQUAL(f.stops, 0);
+		fixture_clear(&f);
+	}
+}
+
+/*
+ * Gang of which one worker shrinks while its placement waits for the store: no member is
+ * started, and all are once there is room again.
+ */
+static void test_gang_placement_outlives_its_room(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 1, 3);
+	f.store_down = true;
+	submit_job(&f, 1, "batch", 2, 8, 1000, true);
+	run_pass(&f);
+	report_state(&f, "w2", 4, false);
+	f.store_down = false;
+	store_dirty_jobs(&f);
+	CU_ASSERT_EQUAL(f.starts, 0);
+	report_state(&f, "w2", 8, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	CU_ASSERT_EQUAL(f.stops, 0);
+	fixture_clear(&f);
+}
+
 /*
  * Malformed lists: an answer that says OK without complete lists says nothing about what runs,
  * and must not pass for a worker without runs.
@@ -392,5 +465,9 @@
 		test_failing_worker_gets_no_gang);
 	CU_add_test(s, "job that fails everywhere: one worker is suspected",
 		test_hopeless_job_blames_one_worker);
+	CU_add_test(s, "worker that shrinks or leaves: no start of an earlier placement",
+		test_placement_outlives_its_room);
+	CU_add_test(s, "worker that shrinks: no start of a gang that was placed on it",
+		test_gang_placement_outlives_its_room);
 	CU_add_test(s, "malformed lists are no lists", test_incomplete_lists);
 }
