daemon: end the workload roles without returning from their frame

Stopped beside a client that keeps sending heartbeats over an open connection, 17 of 60 agents and 3 of 6 entries ended with signal 11 or 6 on arm64.

Cause: the process's loop, settings and HTTP client hang on a struct in the frame of wl_process_run. It returned while the threads of the HTTP servers still ran. A request that arrived then called loop_post on whatever the exit handlers had put on the stack meanwhile. Core dumps, all alike: one thread in on_heartbeat -> loop_post(l=<stack garbage>), the main thread in exit -> __run_exit_handlers (OPENSSL_cleanup, _dl_fini). In others loop_post took the garbage for a mutex, overwrote a return address (stack smashing) or OpenSSL's tables (the main thread dies in OBJ_NAME_cleanup).

Change: the role flushes its log and ends with _exit, inside that frame, also after an error of the start. Class of fault: data outlived by the threads that use it.

Weighed: stopping the threads first. http_server_free needs every request to be answered (one that waits on the loop is never answered once it stands still, and libmicrohttpd aborts), and a client that still sends would delay a stop that has a deadline. Nothing is left to free or to write: an order that is under way ends with the call, and what counts is stored.

Test: regress/platform/check run-stops.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -50,6 +50,6 @@
 	WL_ROLE_ENTRY,
 	WL_ROLE_AGENT
 };
-int wl_process_run(enum wl_role role, const struct options *o);
+G_NORETURN void wl_process_run(enum wl_role role, const struct options *o);
 
 #endif
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -192,9 +192,9 @@
 static int run(enum daemon_role role, struct options *o)
 {
 	if (role == DAEMON_ROLE_WORKLOAD_ENTRY)
-		return wl_process_run(WL_ROLE_ENTRY, o);
+		wl_process_run(WL_ROLE_ENTRY, o);
 	if (role == DAEMON_ROLE_WORKLOAD_AGENT)
-		return wl_process_run(WL_ROLE_AGENT, o);
+		wl_process_run(WL_ROLE_AGENT, o);
 	return run_cell_role(role, o);
 }
 
--- a/packages/daemon/wl-process.c
+++ b/packages/daemon/wl-process.c
@@ -133,8 +133,20 @@
 	return start_metrics_server(p, options_number(o, "metrics-port"), err);
 }
 
-/* Runs a role until the process is stopped; returns the exit status. */
-int wl_process_run(enum wl_role role, const struct options *o)
+/*
+ * Ends the process. The threads of the HTTP servers and of the HTTP client are still running
+ * and use the loop and the settings, so neither may this file's functions return, nor may exit
+ * handlers free what libraries share. Nothing else is to be done: the store and the worker have
+ * what counts, and calls under way are abandoned.
+ */
+G_NORETURN static void end_process(int status)
+{
+	event_flush();
+	_exit(status);
+}
+
+/* Runs a role until the process is stopped, and ends the process. */
+void wl_process_run(enum wl_role role, const struct options *o)
 {
 	struct wl_daemon p = {.signal_fd = process_open_signalfd(true)};
 	g_autoptr(GError) err = NULL;
@@ -148,14 +160,12 @@
 		ok = (p.agent = wl_agent_new(&p.process, &err)) != NULL;
 	if (!ok) {
 		fprintf(stderr, "damaskpathd: %s\n", err->message);
-		return error_kind_of(err) == ERR_INVALID ? 2 : 1;
+		end_process(error_kind_of(err) == ERR_INVALID ? 2 : 1);
 	}
 	event_log(EV_START, "role=%s zone=%s version=%s",
 		role == WL_ROLE_ENTRY ? "entry" : "agent", p.process.settings.zone, DP_VERSION);
 	loop_add_fd(p.process.loop, p.signal_fd, EPOLLIN, on_signal, &p);
 	loop_run(p.process.loop);
-	/* Nothing is freed, as the process ends here; calls under way are abandoned. */
 	event_log(EV_STOP, "why=done");
-	event_flush();
-	return 0;
+	end_process(0);
 }
