http-server: refuse requests while a process ends

Seen: a standalone process that is stopped while callers keep calling its entry ended with signal 6 (GET /v1/jobs: "MHD_stop_daemon() called while we have suspended connections") or 11 (GET /v1/config-history), 15 of 15 times each. The roles entry and agent share this code.

Cause: the same class as in the workload roles, threads that outlive what they use. The pool and the loop of the cell roles end before their HTTP servers. A handler that runs meanwhile submits work to the freed pool, or posts to the loop that runs no more, so that its request is never answered and libmicrohttpd aborts.

Change: http_server_refuse has all further requests answered with 503 and returns once no handler runs; the roles call it before they end the pool. http_server_free answers the requests that still wait. Unlike the workload roles these processes have something to do after their loop (answer open jobs, give back the lease), so they can't simply end.

Test: regress/platform/check run-stops, the last two parts: 4 of 4 and 4 of 4 ended badly on the code before, none after. Callers that wait at the stop limit still get their 503 (12 of 12, by hand).

--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -299,6 +299,12 @@
 		agent_core_unacked_ends(a->core));
 }
 
+/* Refuses requests from now on; once this returns, none is being handled. */
+void agent_refuse(struct agent *a)
+{
+	http_server_refuse(a->http);
+}
+
 /* Stops at once and frees the agent, releasing the lease if it coordinates. */
 void agent_free(struct agent *a)
 {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -31,6 +31,7 @@
 bool agent_idle(const struct agent *a);
 /* Describes what delays the stop, as key=value pairs for the log; the caller frees it. */
 char *agent_describe_pending(const struct agent *a);
+void agent_refuse(struct agent *a);
 void agent_free(struct agent *a);
 const char *agent_http_addr(const struct agent *a);
 
@@ -39,6 +40,7 @@
 struct entry *entry_new(struct process *p, GError **err);
 void entry_stop(struct entry *e);
 bool entry_idle(const struct entry *e);
+void entry_refuse(struct entry *e);
 void entry_free(struct entry *e);
 const char *entry_http_addr(const struct entry *e);
 
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -76,6 +76,12 @@
 	       http_server_open_requests(e->http) == 0;
 }
 
+/* Refuses requests from now on; once this returns, none is being handled. */
+void entry_refuse(struct entry *e)
+{
+	http_server_refuse(e->http);
+}
+
 /* Fails the jobs that are still open when a graceful stop reaches its time limit. */
 static void fail_open_jobs(struct entry *e)
 {
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -179,6 +179,12 @@
 		fprintf(stderr, "damaskpathd: %s\n", err->message);
 		p.exit_code = error_kind_of(err) == ERR_INVALID ? EXIT_USAGE : 1;
 	}
+	/* Requests still arrive. Their handlers use the pool and the loop, so they stop first.
+	 */
+	if (p.entry != NULL)
+		entry_refuse(p.entry);
+	if (p.agent != NULL)
+		agent_refuse(p.agent);
 	process_stop_pool(&p.process);
 	if (p.entry != NULL)
 		entry_free(p.entry);
--- a/packages/transport/http-server.c
+++ b/packages/transport/http-server.c
@@ -19,6 +19,11 @@
 	void *arg;
 	char *addr;
 	unsigned int open_requests; /* atomic */
+	/* Held for reading while a handler runs; see http_server_refuse. */
+	pthread_rwlock_t dispatch_lock;
+	bool refusing;	      /* guarded by dispatch_lock */
+	pthread_mutex_t lock; /* guards requests */
+	LIST_HEAD(, http_request) requests;
 };
 
 /* Progress of a request. */
@@ -46,6 +51,7 @@
 	struct MHD_Response *response;
 	unsigned int status;
 	GPtrArray *headers;
+	LIST_ENTRY(http_request) entry;
 };
 
 static struct http_request *request_new(struct http_server *s, struct MHD_Connection *conn,
@@ -61,6 +67,9 @@
 	r->headers = g_ptr_array_new_with_free_func(g_free);
 	pthread_mutex_init(&r->lock, NULL);
 	__atomic_fetch_add(&s->open_requests, 1, __ATOMIC_RELAXED);
+	pthread_mutex_lock(&s->lock);
+	LIST_INSERT_HEAD(&s->requests, r, entry);
+	pthread_mutex_unlock(&s->lock);
 	counter_add(&http_requests, 1);
 	return r;
 }
@@ -71,6 +80,9 @@
 	/* Waits for the answering thread, which may still hold the lock. */
 	pthread_mutex_lock(&r->lock);
 	pthread_mutex_unlock(&r->lock);
+	pthread_mutex_lock(&r->server->lock);
+	LIST_REMOVE(r, entry);
+	pthread_mutex_unlock(&r->server->lock);
 	__atomic_fetch_sub(&r->server->open_requests, 1, __ATOMIC_RELAXED);
 	free(r->method);
 	free(r->path);
@@ -106,20 +118,11 @@
 	return res;
 }
 
-/* Passes a whole request to the handler; suspends the connection unless it was answered. */
-static enum MHD_Result dispatch_request(struct http_request *r)
+/* Has a whole request handled; suspends the connection unless it was answered. */
+static bool handle_request(struct http_request *r)
 {
 	bool answered;
 
-	if (r->too_large) {
-		counter_add(&http_too_large, 1);
-		http_reply_problem(r, ERR_TOO_LARGE, "the body is over the limit", NULL);
-		return queue_response(r);
-	}
-	g_byte_array_append(r->input, (const guint8 *)"", 1);
-	r->body.len = r->input->len - 1;
-	r->body.data = g_byte_array_free(r->input, FALSE);
-	r->input = NULL;
 	r->phase = HTTP_DISPATCHED;
 	r->server->handler(r, r->server->arg);
 	pthread_mutex_lock(&r->lock);
@@ -129,6 +132,29 @@
 		MHD_suspend_connection(r->conn);
 	}
 	pthread_mutex_unlock(&r->lock);
+	return answered;
+}
+
+/* Passes a whole request to the handler, or refuses it; queues the answer if there is one. */
+static enum MHD_Result dispatch_request(struct http_request *r)
+{
+	bool answered = true;
+
+	if (r->too_large) {
+		counter_add(&http_too_large, 1);
+		http_reply_problem(r, ERR_TOO_LARGE, "the body is over the limit", NULL);
+		return queue_response(r);
+	}
+	g_byte_array_append(r->input, (const guint8 *)"", 1);
+	r->body.len = r->input->len - 1;
+	r->body.data = g_byte_array_free(r->input, FALSE);
+	r->input = NULL;
+	pthread_rwlock_rdlock(&r->server->dispatch_lock);
+	if (r->server->refusing)
+		http_reply_problem(r, ERR_DRAINING, NULL, NULL);
+	else
+		answered = handle_request(r);
+	pthread_rwlock_unlock(&r->server->dispatch_lock);
 	return answered ? queue_response(r) : MHD_YES;
 }
 
@@ -194,6 +220,9 @@
 	s->limits = *limits;
 	s->handler = handler;
 	s->arg = arg;
+	pthread_rwlock_init(&s->dispatch_lock, NULL);
+	pthread_mutex_init(&s->lock, NULL);
+	LIST_INIT(&s->requests);
 	s->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
 					     MHD_USE_ITC | MHD_USE_ERROR_LOG,
 		0, NULL, NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL,
@@ -229,12 +258,49 @@
 	MHD_quiesce_daemon(s->daemon);
 }
 
-/* Stops the server; all requests must have been answered. */
+/*
+ * Refuses requests from now on. Once this returns, no handler runs and none will, so what
+ * handlers use may end. Requests that were passed to the handler before may still be answered.
+ */
+void http_server_refuse(struct http_server *s)
+{
+	if (s == NULL)
+		return;
+	pthread_rwlock_wrlock(&s->dispatch_lock);
+	s->refusing = true;
+	pthread_rwlock_unlock(&s->dispatch_lock);
+}
+
+/*
+ * Answers the requests that wait for an answer. The connection of such a request is suspended,
+ * so that the request isn't freed before. What it asked for may have been done.
+ */
+static void refuse_unanswered(struct http_server *s)
+{
+	g_autoptr(GPtrArray) unanswered = g_ptr_array_new();
+	struct http_request *r;
+
+	pthread_mutex_lock(&s->lock);
+	LIST_FOREACH(r, &s->requests, entry) {
+		if (request_phase(r) == HTTP_SUSPENDED)
+			g_ptr_array_add(unanswered, r);
+	}
+	pthread_mutex_unlock(&s->lock);
+	for (guint i = 0; i < unanswered->len; i++)
+		http_reply_problem_full(unanswered->pdata[i], ERR_DRAINING, NULL, false,
+			(uint32_t)error_info(ERR_DRAINING)->retry_after_s, NULL);
+}
+
+/* Stops the server. Nobody else may answer a request any more; those that wait are refused. */
 void http_server_free(struct http_server *s)
 {
 	if (s == NULL)
 		return;
+	http_server_refuse(s);
+	refuse_unanswered(s);
 	MHD_stop_daemon(s->daemon);
+	pthread_rwlock_destroy(&s->dispatch_lock);
+	pthread_mutex_destroy(&s->lock);
 	g_free(s->addr);
 	free(s);
 }
--- a/packages/transport/transport.h
+++ b/packages/transport/transport.h
@@ -94,6 +94,7 @@
 const char *http_server_addr(const struct http_server *s);
 unsigned int http_server_open_requests(const struct http_server *s);
 void http_server_quiesce(struct http_server *s);
+void http_server_refuse(struct http_server *s);
 void http_server_free(struct http_server *s);
 const char *http_method(const struct http_request *r);
 const char *http_path(const struct http_request *r);
