--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -448,8 +448,66 @@
 	}
 }
 
+/* Parses an answer with status 200; the caller frees the result with pf_reply_clear. */
+static void parse_reply(const char *body, struct pf_reply *r)
+{
+	struct http_call *c = http_call_new("POST", "http://127.0.0.1/");
+
+	c->status = 200;
+	c->answer = bytes_copy(body, strlen(body));
+	pf_reply_parse(c, r);
+	http_call_free(c);
+}
+
+/*
+ * Ends with a number that no worker counts to: taken for the last end that was seen, it would
+ * have all later ends ignored, and acknowledged before they are stored.
+ */
+static void test_end_numbers_out_of_range(void)
+{
+	static const char *const odd[] = {"9223372036854775807", "-1", "0", "1.5", "1e15",
+		"null", "\"7\"", "{}", "9007199254740993"};
+
+	for (size_t i = 0; i < ARRAY_LEN(odd); i++) {
+		AUTOFREE char *body = NULL;
+		struct pf_reply r;
+
+		xasprintf(&body,
+			"{\"running\":[],\"finished\":[[3,\"t\",1,\"done\",\"\"],"
+			"[%s,\"u\",1,\"done\",\"\"]]}",
+			odd[i]);
+		parse_reply(body, &r);
+		CU_ASSERT_EQUAL(r.ends_len, 1);
+		CU_ASSERT_EQUAL(r.ends[0].number, 3);
+		CU_ASSERT_FALSE(r.lists_complete);
+		pf_reply_clear(&r);
+	}
+}
+
+/*
+ * A clock that no worker can show: the end of a lease that is reckoned from it is out of range
+ * and would renew no lease.
+ */
+static void test_clock_out_of_range(void)
+{
+	struct pf_reply r;
+
+	parse_reply("{\"clock_ms\":9223372036854775807,\"running\":[],\"finished\":[]}", &r);
+	CU_ASSERT_EQUAL(r.clock_ms, 0);
+	pf_reply_clear(&r);
+	parse_reply("{\"clock_ms\":-5,\"running\":[],\"finished\":[]}", &r);
+	CU_ASSERT_EQUAL(r.clock_ms, 0);
+	pf_reply_clear(&r);
+	parse_reply("{\"clock_ms\":482113,\"running\":[],\"finished\":[]}", &r);
+	CU_ASSERT_EQUAL(r.clock_ms, 482113);
+	pf_reply_clear(&r);
+}
+
 void unit_workers(CU_pSuite s)
 {
+	CU_add_test(s, "worker's answers: an odd clock is no clock", test_clock_out_of_range);
+	CU_add_test(s, "worker's lists: an end with an odd number is no end",
+		test_end_numbers_out_of_range);
 	CU_add_test(s, "silent agent: its run is not stalled", test_silent_agent_keeps_its_run);
 	CU_add_test(s, "hung worker: its run is stopped", test_hung_run_is_stopped);
 	CU_add_test(s, "hung worker: new work goes elsewhere", test_hung_worker_is_avoided);
