worker: follow lists that have rows which can't be read

Seen: with one row of another type in the lists of a worker (stand-in, odd_rows) a job that is submitted stays queued, and runs lapse, for as long as the row is there.

Cause: one such row made the whole answer count as none. The agent reported nothing any more, renewed no leases after the third, and never acknowledged the ends, so that the row stayed.

Change: the agent reports what it could read, marked as partial. The coordinator takes the runs and the ends from it, and concludes nothing from what is missing, as the run may be in the odd row: it neither gives up a run nor releases a node of which it awaits a report. Without an array for each list the answer counts as none, as before. An older coordinator ignores the mark; the report covers no starts, so that it takes no run that it started for missing.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -134,6 +134,8 @@
 				 r->runs[k].attempt == s->attempt;
 		if (listed) {
 			resolve_start(w, s, WL_ANSWER_RUNNING);
+		} else if (!r->lists_complete) {
+			continue;
 		} else if (s->voided_at > 0) {
 			if (requested_at > s->voided_at)
 				resolve_start(w, s, s->refusal);
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -188,7 +188,8 @@
 	out.node = w->p->settings.node;
 	out.worker_instance = w->instance;
 	out.left = w->left || w->lost;
-	out.covers = w->renewal_settled_ordinal;
+	out.partial = !r->lists_complete;
+	out.covers = out.partial ? 0 : w->renewal_settled_ordinal;
 	out.sent_ns = (uint64_t)w->renewal_sent_at;
 	out.runs = r->runs;
 	out.runs_len = r->runs_len;
@@ -203,7 +204,7 @@
  */
 static void check_lost(struct wl_worker *w)
 {
-	const struct pf_reply none = {0};
+	const struct pf_reply none = {.lists_present = true, .lists_complete = true};
 	int64_t now = worker_now(w);
 
 	if (w->lost || w->left || w->term == 0 || w->instance == NULL || w->calls_pending > 0 ||
@@ -271,7 +272,7 @@
 	w->calls_pending--;
 	w->renewal_pending = false;
 	pf_reply_parse(c, &r);
-	if (r.kind == PF_REPLY_OK && !r.lists_complete)
+	if (r.kind == PF_REPLY_OK && !r.lists_present)
 		r.kind = PF_REPLY_NO_ANSWER;
 	if (w->renewal_granted)
 		worker_note_lease(w, c, w->renewal_sent_at);
@@ -415,7 +416,7 @@
 /* Handles the heartbeat of a worker that leaves, of which only the id is known. */
 static void process_leave(struct wl_worker *w, const struct pf_heartbeat *h)
 {
-	const struct pf_reply none = {0};
+	const struct pf_reply none = {.lists_present = true, .lists_complete = true};
 
 	if (g_strcmp0(w->heartbeat.id, h->id) == 0)
 		w->left = true;
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -40,6 +40,7 @@
  *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
  *                        with "refuse_status" (503) and "refuse_reason", and not carried out
  *   {"lost_holds":1}     the next lease renewal is carried out and never answered
+ *   {"odd_rows":true}    the workers' lists have a row each that can't be read
  *
  * The answer to POST /control has the number of calls to the store ("calls") and of starts on
  * each worker ("started"), the jobs that had a task started ("begun"), and every violation of
@@ -133,6 +134,7 @@
 static int64_t next_lease = 100;
 static bool down;
 static int64_t down_since_ms;
+static bool odd_rows;
 static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
@@ -235,6 +237,7 @@
 static json_t *worker_json(const struct worker *w)
 {
 	json_t *running = json_array();
+	json_t *finished = json_copy(w->finished);
 
 	for (guint i = 0; i < w->runs->len; i++) {
 		const struct run *r = w->runs->pdata[i];
@@ -242,9 +245,12 @@
 		json_array_append_new(running, json_pack("[s,I,s,i,i]", r->task, r->attempt, "",
 						       (int)(now_ms() / 20 % 100), 0));
 	}
-	return json_pack("{s:I,s:I,s:o,s:O}", "clock_ms", (json_int_t)now_ms(), "born",
-		(json_int_t)w->instance_started_at, "running", running, "finished",
-		w->finished);
+	if (odd_rows) {
+		json_array_append_new(running, json_pack("[i,n]", 7));
+		json_array_append_new(finished, json_pack("[s,[]]", "odd"));
+	}
+	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms", (json_int_t)now_ms(), "born",
+		(json_int_t)w->instance_started_at, "running", running, "finished", finished);
 }
 
 /* Answers a call to a worker; a mute worker answers 500 without a body. */
@@ -486,6 +492,8 @@
 		starts_to_delay = json_integer_value(json_object_get(in, "late_orders"));
 	if (json_object_get(in, "deaf_watches") != NULL)
 		deaf_watches = json_is_true(json_object_get(in, "deaf_watches"));
+	if (json_object_get(in, "odd_rows") != NULL)
+		odd_rows = json_is_true(json_object_get(in, "odd_rows"));
 	if (json_object_get(in, "lost_holds") != NULL)
 		renewal_answers_to_drop = json_integer_value(json_object_get(in, "lost_holds"));
 	if (json_object_get(in, "lost_starts") != NULL)
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -110,6 +110,7 @@
 	LIST(wl_report, runs, wl_run),
 	LIST(wl_report, ends, wl_ended),
 	U64(wl_report, sent_ns),
+	BOOL(wl_report, partial),
 };
 static const struct field_table wl_report_fields = TABLE(wl_report);
 
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -516,7 +516,10 @@
 	}
 }
 
-/* Handles a report, which holds the complete state and lists of a worker. */
+/*
+ * Handles a report, which holds the complete state and lists of a worker. A partial one tells
+ * of runs and ends, but not of what is missing.
+ */
 void wl_node_report(struct wl *w, int64_t now, int64_t wall, const struct wl_report *r)
 {
 	struct wl_node *n;
@@ -540,8 +543,10 @@
 	n->report_serial++;
 	process_ended_runs(n, now, wall, r);
 	reconcile_runs(n, now, r);
-	node_release_unconfirmed(n, now);
-	handle_missing_runs(n, now, r);
+	if (!r->partial) {
+		node_release_unconfirmed(n, now);
+		handle_missing_runs(n, now, r);
+	}
 	check_overbooked(n, &capacity);
 	release_unsent_tasks(n, now);
 	if (r->left && TAILQ_FIRST(&n->tasks) != NULL && r->draining)
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -237,6 +237,8 @@
 	uint32_t runs_len;
 	struct wl_ended *ends;
 	uint32_t ends_len;
+	/* Rows of the worker's lists could not be read: what isn't listed may be running. */
+	bool partial;
 };
 
 /* Start of one task; wl_start_order carries the payload that all its starts share. */
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -448,6 +448,43 @@
 	}
 }
 
+/*
+ * Lists with a row that can't be read: the run may be in that row. It is neither started again
+ * nor stopped, and only complete lists show that it is missing.
+ */
+static void test_partial_lists_end_no_run(void)
+{
+	struct wl_report r = {.node = (char *)"w1",
+		.worker_instance = (char *)"w1@1",
+		.service = (char *)"s",
+		.rack = (char *)"r1",
+		.cores_m = 32000,
+		.memory_mb = 64000,
+		.accelerators = 8,
+		.partial = true};
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 1, 10000, false);
+	run_pass(&f);
+	report_percent(&f, "w1", "0000000000000001.0.0.0", 1, 5);
+	for (unsigned int i = 0; i < 3; i++) {
+		f.now += SEC;
+		r.covers = f.ordinal;
+		r.sent_ns = (uint64_t)f.now;
+		wl_node_report(f.wl, f.now, f.now, &r);
+		run_pass(&f);
+	}
+	CU_ASSERT_EQUAL(f.starts, 1);
+	CU_ASSERT_EQUAL(f.stops, 0);
+	f.now += SEC;
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	fixture_clear(&f);
+}
+
 /* Parses an answer with status 200; the caller frees the result with pf_reply_clear. */
 static void parse_reply(const char *body, struct pf_reply *r)
 {
@@ -505,6 +542,8 @@
 
 void unit_workers(CU_pSuite s)
 {
+	CU_add_test(s, "worker's lists: a run that partial ones don't show may go on",
+		test_partial_lists_end_no_run);
 	CU_add_test(s, "worker's answers: an odd clock is no clock", test_clock_out_of_range);
 	CU_add_test(s, "worker's lists: an end with an odd number is no end",
 		test_end_numbers_out_of_range);
