--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -540,8 +540,40 @@
 	pf_reply_clear(&r);
 }
 
+/* Rows with values that the JSON library rejects: the other rows of the lists hold. */
+static void test_unreadable_rows(void)
+{
+	g_autofree char *deep = g_strnfill(40000, '[');
+	g_autofree char *close = g_strnfill(40000, ']');
+	g_autofree char *nested = g_strconcat("{\"a\":", deep, "\"]\\\"\"", close, "}", NULL);
+	const char *const odd[] = {nested, "1e400", "-1e400", "99999999999999999999",
+		"[1,2,3,\"\\u0000\"]", "\"\\ud800\"", "[7,8,\"\xff\xc0\"]",
+		"[1e999,\"u\",1,\"done\"]"};
+
+	for (size_t i = 0; i < ARRAY_LEN(odd); i++) {
+		AUTOFREE char *body = NULL;
+		struct pf_reply r;
+
+		xasprintf(&body,
+			"{\"clock_ms\":7,\"running\":[[\"a\",1],%s,[\"b\",2,\"c\"]],"
+			"\"finished\":[%s,[4,\"d\",1,\"done\",\"\"]]}",
+			odd[i], odd[i]);
+		parse_reply(body, &r);
+		CU_ASSERT_EQUAL(r.clock_ms, 7);
+		CU_ASSERT_TRUE(r.lists_present);
+		CU_ASSERT_FALSE(r.lists_complete);
+		CU_ASSERT_EQUAL(r.runs_len, 2);
+		CU_ASSERT_TRUE(r.runs_len == 2 && strcmp(r.runs[1].checkpoint, "c") == 0);
+		CU_ASSERT_EQUAL(r.ends_len, 1);
+		CU_ASSERT_TRUE(r.ends_len == 1 && r.ends[0].number == 4);
+		pf_reply_clear(&r);
+	}
+}
+
 void unit_workers(CU_pSuite s)
 {
+	CU_add_test(s, "worker's lists: rows that no JSON reader takes leave the others",
+		test_unreadable_rows);
 	CU_add_test(s, "worker's lists: a run that partial ones don't show may go on",
 		test_partial_lists_end_no_run);
 	CU_add_test(s, "worker's answers: an odd clock is no clock", test_clock_out_of_range);
