pf-worker: a report with a field that can't be right names no worker

Seen by unit test: a status report with a capacity that is negative, too large or no number was taken as one of a worker without that capacity, one whose "born" is odd as one of a worker that started at 0, that is as a new instance, at which the runs of the real one were given up. Spaces and line ends of an id went into the headers of the calls to the worker.

--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -527,8 +527,54 @@
 		pf_heartbeat_parse("PUT", "/elsewhere", &text, &b), PF_HEARTBEAT_INVALID);
 }
 
+/* Reports with a field that can't be right name no worker; odd ones among unused fields do. */
+static void test_odd_heartbeats(void)
+{
+	g_autofree char *deep = g_strnfill(40000, '[');
+	static const struct {
+		const char *id;
+		const char *fields;
+		enum pf_heartbeat_kind kind;
+	} cases[] = {
+		{"i-1", "\"capacity\":{\"cpu\":1000,\"gpu\":8}", PF_HEARTBEAT_REPORT},
+		{"i-1", "\"capacity\":{\"gpu\":8},\"sequence\":1e400", PF_HEARTBEAT_REPORT},
+		{"i-1", "\"capacity\":{\"gpu\":8},\"x\":99999999999999999999",
+			PF_HEARTBEAT_REPORT},
+		{"i-1", "\"capacity\":{\"gpu\":-8}", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{\"gpu\":1e400}", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{\"cpu\":99999999999}", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{\"gpu\":\"8\"}", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":[8]", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{},\"labels\":{\"r1-1\":1}", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{},\"born\":-1", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{},\"born\":\"1\"", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{},\"born\":99999999999999999999", PF_HEARTBEAT_INVALID},
+		{"i-1", "\"capacity\":{},\"drain_remaining_ms\":-1", PF_HEARTBEAT_INVALID},
+		{"i 1", "\"capacity\":{}", PF_HEARTBEAT_INVALID},
+		{"i-1\r\nX: 1", "\"capacity\":{}", PF_HEARTBEAT_INVALID},
+	};
+	struct pf_heartbeat b;
+	struct bytes text;
+
+	for (size_t i = 0; i < ARRAY_LEN(cases); i++) {
+		AUTOFREE char *path = NULL;
+		AUTOFREE char *body = NULL;
+
+		xasprintf(&path, "/v1/instances/%s", cases[i].id);
+		xasprintf(&body, "{\"service\":\"s\",\"state\":\"ready\",%s}", cases[i].fields);
+		text = (struct bytes){body, strlen(body)};
+		CU_ASSERT_EQUAL(pf_heartbeat_parse("PUT", path, &text, &b), cases[i].kind);
+		pf_heartbeat_clear(&b);
+	}
+	text = (struct bytes){deep, strlen(deep)};
+	CU_ASSERT_EQUAL(pf_heartbeat_parse("PUT", "/v1/instances/i-1", &text, &b),
+		PF_HEARTBEAT_INVALID);
+}
+
 void unit_workload(CU_pSuite s)
 {
+	CU_add_test(s, "heartbeats: a field that can't be right names no worker",
+		test_odd_heartbeats);
 	CU_add_test(s, "a placement is stored before its start order",
 		test_placement_stored_before_start);
 	CU_add_test(s, "headroom for urgent work", test_headroom);
