agent: replace a coordinator's address that another writer has left

Seen: with an entry of another writer at dp/lead (empty, no address, a port out of range, an address where nobody answers) every agent that starts, or that loses its coordinator, looks the address up for ever and never campaigns, as the key exists and has no lease to expire with.

Cause: whatever stood there counted as a coordinator.

Change: the entry of a coordinator is an address, with a port, that expires with a store lease. Anything else is removed, conditional on its revision, and the agent campaigns, as it already did with an entry of its own earlier process. The detour keeps the address that it has.

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -177,6 +177,16 @@
 	dial(a, a->own_addr);
 }
 
+bool wl_names_coordinator(const struct kv_item *it)
+{
+	g_autofree char *addr = g_strndup(it->value.data, it->value.len);
+	g_autofree char *host = NULL;
+	int port = 0;
+
+	return it->lease != 0 && strlen(addr) == it->value.len &&
+	       addr_parse(addr, &host, &port, NULL) && port > 0;
+}
+
 static uint64_t parse_term(const struct kv_item *it)
 {
 	g_autofree char *text = g_strndup(it->value.data ? it->value.data : "", it->value.len);
@@ -184,6 +194,18 @@
 	return g_ascii_strtoull(text, NULL, 10);
 }
 
+static void remove_coordinator_key(struct wl_agent *a, int64_t revision);
+
+/* Removes a coordinator's key that another writer has left, and campaigns then. */
+static void remove_odd_key(struct wl_agent *a, const struct kv_item *it)
+{
+	g_autofree char *text = g_strndup(it->value.data, MIN(it->value.len, 64));
+
+	event_log(EV_BAD_INPUT, "from=store what=\"%s: '%s', lease %" PRId64 "\"", it->key,
+		text, it->lease);
+	remove_coordinator_key(a, it->revision);
+}
+
 static void on_term_written(const struct kv_result *r, void *arg)
 {
 	struct wl_agent *a = arg;
@@ -203,7 +225,10 @@
 		} else if (strcmp(it->key, KEY_COORDINATOR_ADDR) == 0 && it->revision > 0) {
 			g_autofree char *addr = g_strndup(it->value.data, it->value.len);
 
-			dial(a, addr);
+			if (wl_names_coordinator(it))
+				dial(a, addr);
+			else
+				remove_odd_key(a, it);
 			return;
 		}
 	}
@@ -260,7 +285,7 @@
 		on_lease_granted, a);
 }
 
-static void on_own_key_removed(const struct kv_result *r, void *arg)
+static void on_key_removed(const struct kv_result *r, void *arg)
 {
 	struct wl_agent *a = arg;
 
@@ -271,10 +296,11 @@
 }
 
 /*
- * Removes a coordinator's key that holds this agent's own address. An earlier process of this
- * agent wrote it and is gone, so there is no need to wait for the key to expire.
+ * Removes a coordinator's key that names no other coordinator: one that another writer has
+ * left, or that holds this agent's own address. An earlier process of this agent wrote that and
+ * is gone, so there is no need to wait for the key to expire.
  */
-static void remove_own_key(struct wl_agent *a, int64_t revision)
+static void remove_coordinator_key(struct wl_agent *a, int64_t revision)
 {
 	struct kv_txn t = {.expect_len = 1, .remove_len = 1};
 
@@ -284,7 +310,7 @@
 	t.remove[0] = KEY_COORDINATOR_ADDR;
 	a->store_call_pending = true;
 	a->store_call_at = agent_now(a);
-	kv_commit(a->p->kv, &t, on_own_key_removed, a);
+	kv_commit(a->p->kv, &t, on_key_removed, a);
 }
 
 static void on_coordinator_read(const struct kv_result *r, void *arg)
@@ -299,7 +325,11 @@
 		a->campaign_at = 0;
 		a->store_lease = 0;
 		if (strcmp(addr, a->own_addr) == 0 && a->coord == NULL) {
-			remove_own_key(a, r->items[0].revision);
+			remove_coordinator_key(a, r->items[0].revision);
+			return;
+		}
+		if (!wl_names_coordinator(&r->items[0])) {
+			remove_odd_key(a, &r->items[0]);
 			return;
 		}
 		if (a->state == LINK_OPEN && g_strcmp0(a->coordinator_addr, addr) == 0)
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -178,6 +178,11 @@
 
 /* wl-agent.c */
 struct wl_agent;
+/*
+ * Whether the item, at KEY_COORDINATOR_ADDR, was written by a coordinator: it holds an address
+ * and expires with a store lease. Another writer's names nobody, and may never go away.
+ */
+bool wl_names_coordinator(const struct kv_item *it);
 struct wl_agent *wl_agent_new(struct wl_process *p, GError **err);
 void wl_agent_stop(struct wl_agent *a);
 bool wl_agent_idle(const struct wl_agent *a);
--- a/packages/daemon/wl-detour.c
+++ b/packages/daemon/wl-detour.c
@@ -42,6 +42,7 @@
 	int64_t connect_started_at;
 	int64_t addr_read_sent_at;
 	bool addr_read_in_flight;
+	int64_t odd_revision; /* the last one at which the key named no coordinator */
 	uint64_t last_call_number;
 	GArray *calls; /* detour_calls in progress */
 };
@@ -86,6 +87,12 @@
 	d->addr_read_in_flight = false;
 	if (r->status != KV_OK || r->items_len == 0)
 		return;
+	if (!wl_names_coordinator(&r->items[0])) {
+		if (r->items[0].revision != d->odd_revision)
+			event_log(EV_BAD_INPUT, "from=store what=\"%s\"", r->items[0].key);
+		d->odd_revision = r->items[0].revision;
+		return;
+	}
 	if (d->addr != NULL && strlen(d->addr) == r->items[0].value.len &&
 		memcmp(d->addr, r->items[0].value.data, r->items[0].value.len) == 0)
 		return;
--- a/packages/state/kv.h
+++ b/packages/state/kv.h
@@ -34,6 +34,7 @@
 	struct bytes value;
 	/* Store revision of the last change; 0 if the key does not exist. */
 	int64_t revision;
+	int64_t lease; /* with which the key expires; 0 for none */
 	bool deleted;
 };
 
