agent: the term never goes back

Seen: with an entry of another writer at dp/in/term (empty, no number, negative, beyond 2^64) the next coordinator takes term 1 again, or term 0. The workers have seen a higher fencing token and refuse all its calls, for good: jobs stay queued, 5 of 6 entries tried. Two coordinators may also hold the same term.

Cause: what can't be read counted as 0, and the largest number overflowed.

Change: a term is a number from 1 to the revision of its key, as each term changes the key once. Anything else is logged, and the term counts as that revision, which no earlier one can exceed. An agent doesn't go back behind a term that it knows.

--- a/packages/daemon/wl-agent.c
+++ b/packages/daemon/wl-agent.c
@@ -187,11 +187,24 @@
 	       addr_parse(addr, &host, &port, NULL) && port > 0;
 }
 
-static uint64_t parse_term(const struct kv_item *it)
+/*
+ * Takes the term from its key. Each term changes the key once, so that none is higher than the
+ * revision at which it was written. Where another writer has left something else, the terms
+ * before were not higher than that revision either.
+ */
+static void learn_term(struct wl_agent *a, const struct kv_item *it)
 {
 	g_autofree char *text = g_strndup(it->value.data ? it->value.data : "", it->value.len);
+	char *end;
+	uint64_t revision = (uint64_t)MAX(it->revision, 0);
+	uint64_t term = g_ascii_strtoull(text, &end, 10);
 
-	return g_ascii_strtoull(text, NULL, 10);
+	if (it->revision > 0 && (*end != '\0' || term == 0 || term > revision)) {
+		event_log(EV_BAD_INPUT, "from=store what=\"%s: '%.64s'\"", it->key, text);
+		term = revision;
+	}
+	a->stored_term_revision = it->revision;
+	a->stored_term = MAX(a->stored_term, term);
 }
 
 static void remove_coordinator_key(struct wl_agent *a, int64_t revision);
@@ -220,8 +233,7 @@
 		const struct kv_item *it = &r->items[i];
 
 		if (strcmp(it->key, KEY_TERM) == 0) {
-			a->stored_term_revision = it->revision;
-			a->stored_term = parse_term(it);
+			learn_term(a, it);
 		} else if (strcmp(it->key, KEY_COORDINATOR_ADDR) == 0 && it->revision > 0) {
 			g_autofree char *addr = g_strndup(it->value.data, it->value.len);
 
