pf-store: an item that can't be read stops neither a list nor a watch

Seen with the stand-in (odd_items): after one event that can't be read the coordinator repeats its watch without a pause, for good, and hears of nothing any more (a job stays queued). A page on which nothing can be read ended a list, so that what follows was taken as not stored.

Cause: items that can't be read were left out without a trace. The watch moved on only past events that could be read, and the next page was asked for after the last item that could be read.

Change: an answer tells how many items it has and the key of the last one, readable or not; the watch and the lists go by these.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -133,7 +133,7 @@
 		 * An answer without events leaves the revision: where the watch only heard
 		 * nothing, the next one still gets what it missed.
 		 */
-		if (r->items_len > 0 && r->store_revision > c->watch_revision)
+		if (r->rows_len > 0 && r->store_revision > c->watch_revision)
 			c->watch_revision = r->store_revision;
 		if (c->term_lost)
 			return;
@@ -296,8 +296,8 @@
 		read_inbox_item(c, &r->items[i]);
 	if (c->term_lost)
 		return;
-	if (r->has_more && r->items_len > 0)
-		list_inbox(c, r->items[r->items_len - 1].key);
+	if (r->has_more)
+		list_inbox(c, r->last_key);
 	else
 		on_inbox_complete(c);
 }
@@ -335,8 +335,8 @@
 		g_hash_table_replace(c->stored_progress, g_strdup(id), b);
 		record_writer_note_revision(c->records, id, r->items[i].revision);
 	}
-	if (r->has_more && r->items_len > 0)
-		list_progress(c, r->items[r->items_len - 1].key);
+	if (r->has_more)
+		list_progress(c, r->last_key);
 	else
 		list_inbox(c, NULL);
 }
@@ -363,8 +363,8 @@
 		record_writer_add_stored_node(c->records, node, r->items[i].revision);
 		wl_node_await_report(c->scheduler, loop_now(c->p->loop), node);
 	}
-	if (r->has_more && r->items_len > 0)
-		list_nodes(c, r->items[r->items_len - 1].key);
+	if (r->has_more)
+		list_nodes(c, r->last_key);
 	else
 		list_progress(c, NULL);
 }
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -351,7 +351,6 @@
 static void on_depth_page_read(const struct kv_result *r, void *arg)
 {
 	struct wl_entry *e = arg;
-	g_autofree char *last = NULL;
 	g_autoptr(GPtrArray) waiters = NULL;
 
 	for (size_t i = 0; r->status == KV_OK && i < r->items_len; i++) {
@@ -370,9 +369,8 @@
 		}
 		fields_clear(&wl_progress_fields, &p);
 	}
-	if (r->status == KV_OK && r->has_more && r->items_len > 0) {
-		last = g_strdup(r->items[r->items_len - 1].key);
-		read_depth_page(e, last);
+	if (r->status == KV_OK && r->has_more) {
+		read_depth_page(e, r->last_key);
 		return;
 	}
 	e->queue_depth_reading = false;
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -40,6 +40,8 @@
  *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
  *                        with "refuse_status" (503) and "refuse_reason", and not carried out
  *   {"lost_holds":1}     the next lease renewal is carried out and never answered
+ *   {"odd_items":true}   a watch tells of an item that can't be read, and each list begins with
+ * a page that holds only such items
  *   {"odd_rows":true}    the workers' lists have a row each that can't be read
  *
  * The answer to POST /control has the number of calls to the store ("calls") and of starts on
@@ -67,6 +69,7 @@
 	int64_t revision;
 	int64_t lease;
 	bool deleted;
+	bool odd; /* its value is sent as a number */
 };
 struct lease {
 	int64_t id;
@@ -135,6 +138,7 @@
 static bool down;
 static int64_t down_since_ms;
 static bool odd_rows;
+static bool odd_items;
 static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
@@ -168,6 +172,9 @@
 
 static json_t *item_json(const struct item *it)
 {
+	if (it->odd)
+		return json_pack("{s:s,s:i,s:I}", "key", it->key, "value", 7, "revision",
+			(json_int_t)it->revision);
 	if (it->deleted)
 		return json_pack("{s:s,s:I,s:b}", "key", it->key, "revision",
 			(json_int_t)it->revision, "deleted", 1);
@@ -341,11 +348,31 @@
 	answer_pending_requests();
 }
 
-/* kv-range: lists the items with a prefix. */
-static void handle_range(struct http_request *r, const char *prefix)
+/* The first page of a list, with an item whose value is a number and one without a key. */
+static void reply_odd_page(struct http_request *r, const char *prefix)
 {
 	json_t *list = json_array();
 
+	json_array_append_new(list, json_sprintf("%s", "no object"));
+	json_array_append_new(
+		list, json_pack("{s:o,s:i,s:i}", "key", json_sprintf("%s!", prefix), "value", 7,
+			      "revision", 1));
+	json_array_append_new(list, json_pack("{s:s,s:i}", "value", "", "revision", 1));
+	reply(r, 200,
+		json_pack("{s:o,s:b,s:I}", "items", list, "has_more", 1, "at",
+			(json_int_t)revision));
+}
+
+/* kv-range: lists the items with a prefix, all but odd ones on one page. */
+static void handle_range(struct http_request *r, const char *prefix, const char *after)
+{
+	json_t *list = json_array();
+
+	if (odd_items && strcmp(after, "0") == 0) {
+		json_decref(list);
+		reply_odd_page(r, prefix);
+		return;
+	}
 	for (guint i = 0; i < items->len; i++) {
 		const struct item *it = items->pdata[i];
 
@@ -448,6 +475,17 @@
 	return out;
 }
 
+/* Has the history hold an item of the inbox that can't be read. */
+static void add_odd_item(void)
+{
+	struct item *it = xcalloc(1, sizeof(*it));
+
+	it->key = xstrdup("dp/in/odd");
+	it->revision = ++revision;
+	it->odd = true;
+	g_ptr_array_add(history, it);
+}
+
 /* Starts or ends an outage of the store, for which the leases pause. */
 static void set_down(bool is_down)
 {
@@ -492,6 +530,10 @@
 		starts_to_delay = json_integer_value(json_object_get(in, "late_orders"));
 	if (json_object_get(in, "deaf_watches") != NULL)
 		deaf_watches = json_is_true(json_object_get(in, "deaf_watches"));
+	if (json_object_get(in, "odd_items") != NULL)
+		odd_items = json_is_true(json_object_get(in, "odd_items"));
+	if (json_is_true(json_object_get(in, "odd_items")))
+		add_odd_item();
 	if (json_object_get(in, "odd_rows") != NULL)
 		odd_rows = json_is_true(json_object_get(in, "odd_rows"));
 	if (json_object_get(in, "lost_holds") != NULL)
@@ -549,7 +591,7 @@
 		reply(r, it != NULL ? 200 : 404, it != NULL ? item_json(it) : json_object());
 	} else if (strcmp(call, "kv-range") == 0) {
 		calls++;
-		handle_range(r, prefix);
+		handle_range(r, prefix, after);
 	} else if (strcmp(call, "kv-txn") == 0) {
 		calls++;
 		handle_txn(r, in);
--- a/packages/state/kv.h
+++ b/packages/state/kv.h
@@ -42,6 +42,12 @@
 	enum kv_status status;
 	struct kv_item *items;
 	size_t items_len;
+	/*
+	 * How many items or events the answer has, with those that can't be read and are left
+	 * out of items, and the key of the last one that has a key; NULL for none.
+	 */
+	size_t rows_len;
+	const char *last_key;
 	/* Store revision of the response; for a transaction, the revision of its change. */
 	int64_t store_revision;
 	/* Whether the list continues after its last item. */
