field: reject a list that claims more items than the message has bytes

Seen by a property test that changes bytes of stored items, under the address sanitizer: 5 bytes of an item ask for 137 GB. The release build is told that there is no memory and rejects the item, so nobody saw more than that there; a smaller claim (5 bytes for 6 GB) is allocated and given back.

Cause: msgpack allocates an array before it reads its elements.

Change: the lengths of an encoded message are checked first, without recursion; each element takes a byte at least.

Test: properties "changed lists of a worker", "a changed job or progress", "changed reports, jobs and configurations" (new).

--- a/packages/protocol/field.c
+++ b/packages/protocol/field.c
@@ -173,6 +173,84 @@
 	return true;
 }
 
+/* Read a big-endian number of 1, 2 or 4 bytes. */
+static size_t read_length(const uint8_t *p, size_t bytes)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < bytes; i++)
+		n = n << 8 | p[i];
+	return n;
+}
+
+/*
+ * Whether no array or map claims more elements than there are bytes left. The library allocates
+ * an array before it reads the elements, and so as much memory as a few bytes ask for.
+ */
+static bool lengths_fit(const uint8_t *p, size_t len)
+{
+	/* By type from 0xc0 to 0xdf: bytes of the length that follows, bytes to skip. */
+	static const struct {
+		uint8_t length;
+		uint8_t skip;
+	} types[32] = {[0x04] = {1, 0},
+		[0x05] = {2, 0},
+		[0x06] = {4, 0},
+		[0x07] = {1, 1},
+		[0x08] = {2, 1},
+		[0x09] = {4, 1},
+		[0x0a] = {0, 4},
+		[0x0b] = {0, 8},
+		[0x0c] = {0, 1},
+		[0x0d] = {0, 2},
+		[0x0e] = {0, 4},
+		[0x0f] = {0, 8},
+		[0x10] = {0, 1},
+		[0x11] = {0, 2},
+		[0x12] = {0, 4},
+		[0x13] = {0, 8},
+		[0x14] = {0, 2},
+		[0x15] = {0, 3},
+		[0x16] = {0, 5},
+		[0x17] = {0, 9},
+		[0x18] = {0, 17},
+		[0x19] = {1, 0},
+		[0x1a] = {2, 0},
+		[0x1b] = {4, 0},
+		[0x1c] = {2, 0},
+		[0x1d] = {4, 0},
+		[0x1e] = {2, 0},
+		[0x1f] = {4, 0}};
+
+	for (size_t i = 0; i < len;) {
+		uint8_t type = p[i++];
+		size_t skip = 0;
+		size_t elements = 0;
+
+		if (type >= 0x80 && type <= 0x9f) {
+			elements = type & 0x0f;
+		} else if (type >= 0xa0 && type <= 0xbf) {
+			skip = type & 0x1f;
+		} else if (type >= 0xc0 && type <= 0xdf) {
+			size_t bytes = types[type - 0xc0].length;
+
+			if (bytes > len - i)
+				return false;
+			skip = read_length(p + i, bytes);
+			i += bytes;
+			if (type >= 0xdc) {
+				elements = skip;
+				skip = 0;
+			}
+			skip += types[type - 0xc0].skip;
+		}
+		if (elements > len - i || skip > len - i)
+			return false;
+		i += skip;
+	}
+	return true;
+}
+
 /* Decode into a zeroed struct, which is cleared again on an error. */
 bool fields_decode(
 	const struct field_table *t, void *s, const void *data, size_t len, GError **err)
@@ -182,7 +260,8 @@
 	bool ok;
 
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, data, len, &consumed) == MSGPACK_UNPACK_SUCCESS &&
+	ok = lengths_fit(data, len) &&
+	     msgpack_unpack_next(&unpacked, data, len, &consumed) == MSGPACK_UNPACK_SUCCESS &&
 	     consumed == len && unpack_struct(t, s, &unpacked.data);
 	msgpack_unpacked_destroy(&unpacked);
 	if (ok)
--- a/tests/property/main.cc
+++ b/tests/property/main.cc
@@ -14,6 +14,7 @@
 	prop_sched();
 	prop_gang();
 	prop_workload();
+	prop_odd();
 	printf("properties: %d passed, %d failed\n", properties_passed, properties_failed);
 	return properties_failed == 0 ? 0 : 1;
 }
--- a/tests/property/prop.h
+++ b/tests/property/prop.h
@@ -24,5 +24,6 @@
 void prop_protocol();
 void prop_gang();
 void prop_workload();
+void prop_odd();
 
 #endif
