workload: refuse jobs whose times don't fit into nanoseconds

Change: such a job is refused like others whose times are out of range.

Test: unit "times that no clock reaches are refused", 3 of 4 cases failed on the code before.

--- a/packages/workload/wl-spec.c
+++ b/packages/workload/wl-spec.c
@@ -63,6 +63,16 @@
 	return true;
 }
 
+/* Whether all occurrences are due at times that fit into nanoseconds. */
+static bool times_valid(const struct wl_spec *s)
+{
+	const int64_t max = INT64_MAX / NSEC_PER_MSEC;
+
+	return s->repetitions <= WL_REPETITIONS_MAX && s->interval_ms >= 0 &&
+	       s->start_at_ms >= 0 && s->start_at_ms <= max &&
+	       s->interval_ms <= (max - s->start_at_ms) / MAX(s->repetitions, 1);
+}
+
 /* Validates a submitted job; the error describes the first violation. */
 bool wl_spec_check(const struct wl_spec *s, GError **err)
 {
@@ -76,7 +86,7 @@
 		error_set(err, ERR_INVALID, "a job has 1 to %d steps", WL_STEPS_MAX);
 		return false;
 	}
-	if (s->repetitions > WL_REPETITIONS_MAX || s->interval_ms < 0 || s->start_at_ms < 0) {
+	if (!times_valid(s)) {
 		error_set(err, ERR_INVALID, "its times are out of range");
 		return false;
 	}
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -527,6 +527,35 @@
 		pf_heartbeat_parse("PUT", "/elsewhere", &text, &b), PF_HEARTBEAT_INVALID);
 }
 
+/*
+ * Times beyond the year 2262, which nanoseconds don't reach: the job would be due at once, or
+ * its later occurrences would.
+ */
+static void test_times_out_of_range(void)
+{
+	static const struct {
+		const char *times;
+		bool valid;
+	} cases[] = {
+		{"\"repetitions\":3,\"start_at_ms\":1796438000000,\"interval_ms\":1000", true},
+		{"\"repetitions\":1,\"start_at_ms\":9300000000000", false},
+		{"\"repetitions\":1,\"start_at_ms\":1e15", false},
+		{"\"repetitions\":100000,\"start_at_ms\":5,\"interval_ms\":100000000", false},
+	};
+
+	for (size_t i = 0; i < ARRAY_LEN(cases); i++) {
+		struct wl_spec s = {.id = xstrdup("0000000000000001")};
+		AUTOFREE char *body = NULL;
+		struct bytes text;
+
+		xasprintf(
+			&body, "{\"spec\":\"\",%s,\"steps\":[{\"count\":1}]}", cases[i].times);
+		text = (struct bytes){body, strlen(body)};
+		CU_ASSERT_EQUAL(pf_job_parse(&text, &s, NULL), cases[i].valid);
+		fields_clear(&wl_spec_fields, &s);
+	}
+}
+
 /* Reports with a field that can't be right name no worker; odd ones among unused fields do. */
 static void test_odd_heartbeats(void)
 {
@@ -573,6 +602,8 @@
 
 void unit_workload(CU_pSuite s)
 {
+	CU_add_test(
+		s, "jobs: times that no clock reaches are refused", test_times_out_of_range);
 	CU_add_test(s, "heartbeats: a field that can't be right names no worker",
 		test_odd_heartbeats);
 	CU_add_test(s, "a placement is stored before its start order",
