workload: due occurrences wait while a job has many tasks open

Seen: one accepted job of 20,000 tasks and 100,000 repetitions, due 1 ms apart, has the coordinator allocate all its occurrences in one pass: 4.6 GB after 6 s and rising, by hand with the stand-in. When memory is used up the process aborts, and so does the next coordinator. A job with interval 0, or with a start long ago, does the same.

Cause: every due occurrence was opened, with all its tasks, however many wait already.

Change: an occurrence is opened while at most 20,000 tasks (the limit of one occurrence) of the job's unfinished ones are open, or none is. The others are due and exist as a number; the end of a task brings the next pass.

What stays: tasks of occurrences that are done keep their memory until the job ends.

--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -99,11 +99,39 @@
 	}
 }
 
-/* Creates the units of all occurrences that have become due. */
+/* Whether all units of an occurrence, which is open, are done. */
+static bool occurrence_is_done(const struct wl_job *j, uint32_t occurrence)
+{
+	for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+		if (!j->occurrences[occurrence][s].is_done)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Whether the next occurrence may be opened beside those that are not done. A job can have many
+ * more occurrences due than any memory holds tasks; those that wait exist as a number only.
+ */
+static bool may_open_occurrence(struct wl_job *j)
+{
+	uint64_t tasks = 0;
+	uint32_t open;
+
+	while (j->occurrences_done < j->occurrences_len &&
+		occurrence_is_done(j, j->occurrences_done))
+		j->occurrences_done++;
+	open = j->occurrences_len - j->occurrences_done;
+	for (uint32_t s = 0; s < j->spec.steps_len; s++)
+		tasks += j->spec.steps[s].count;
+	return open == 0 || (open + 1) * tasks <= WL_TASKS_MAX;
+}
+
+/* Creates the units of the occurrences that have become due, as far as they may be open. */
 void job_open_due_occurrences(struct wl_job *j, int64_t now, int64_t wall)
 {
 	while (!wl_state_ended(j->state) && j->occurrences_len < occurrence_count(j) &&
-		occurrence_due_at(j, j->occurrences_len) <= wall)
+		occurrence_due_at(j, j->occurrences_len) <= wall && may_open_occurrence(j))
 		open_next_occurrence(j, now);
 }
 
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -368,7 +368,8 @@
 		job_open_due_occurrences(j, now, wall);
 		store_checkpoints(j, now);
 		due = job_next_due(j);
-		if (due > 0)
+		/* One that is due already waits for the end of a task. */
+		if (due > wall)
 			next = MIN(next, MAX(due - wall, NSEC_PER_MSEC));
 		collect_candidates(w, j, now, order);
 	}
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -165,11 +165,11 @@
 	int64_t ended_ms;
 	/*
 	 * Units by occurrence, then by step. An occurrence is opened when it is due, or earlier
-	 * if a worker or a stored mark names it.
+	 * if a worker or a stored mark names it, or later if too many others are open.
 	 */
 	struct wl_unit **occurrences;
 	uint32_t occurrences_len;
-	uint32_t occurrences_done;
+	uint32_t occurrences_done; /* the first of them that are done */
 	uint64_t version;
 	uint64_t stored; /* last version known to be stored */
 	/* Some tasks have a newer checkpoint than the store. */
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -527,6 +527,49 @@
 		pf_heartbeat_parse("PUT", "/elsewhere", &text, &b), PF_HEARTBEAT_INVALID);
 }
 
+/*
+ * A job of which far more occurrences are due than memory holds tasks: one that was accepted
+ * ended each coordinator in turn. Those that don't fit beside the open ones wait for these to
+ * be done.
+ */
+static void test_due_occurrences_wait(void)
+{
+	struct wl_step step = {.count = 15000, .accelerators = 1};
+	struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = &step,
+		.steps_len = 1,
+		.repetitions = 20};
+	struct wl_mark marks[] = {{.occurrence = 0, .index = WL_INDEX_GANG, .done = true},
+		{.occurrence = 1, .index = WL_INDEX_GANG, .done = true}};
+	struct wl_totals totals;
+	struct fixture f;
+
+	for (uint32_t done = 0; done <= ARRAY_LEN(marks); done++) {
+		const struct wl_progress p = {
+			.state = WL_RUNNING, .marks = marks, .marks_len = done};
+
+		fixture_init(&f);
+		wl_job_add(f.wl, f.now, f.now, &spec, &p);
+		run_pass(&f);
+		run_pass(&f);
+		wl_totals(f.wl, &totals);
+		CU_ASSERT_EQUAL(totals.waiting_tasks, 15000);
+		fixture_clear(&f);
+	}
+	step.count = 1;
+	for (spec.repetitions = 7; spec.repetitions <= WL_REPETITIONS_MAX;
+		spec.repetitions *= 100) {
+		fixture_init(&f);
+		wl_job_add(f.wl, f.now, f.now, &spec, NULL);
+		wl_totals(f.wl, &totals);
+		CU_ASSERT_EQUAL(totals.waiting_tasks, MIN(spec.repetitions, WL_TASKS_MAX));
+		fixture_clear(&f);
+	}
+}
+
 /*
  * Times beyond the year 2262, which nanoseconds don't reach: the job would be due at once, or
  * its later occurrences would.
@@ -602,6 +645,8 @@
 
 void unit_workload(CU_pSuite s)
 {
+	CU_add_test(s, "jobs: due occurrences wait while as many tasks are open as fit",
+		test_due_occurrences_wait);
 	CU_add_test(
 		s, "jobs: times that no clock reaches are refused", test_times_out_of_range);
 	CU_add_test(s, "heartbeats: a field that can't be right names no worker",
