coord: start nothing of a job whose progress can't be read

Seen: with an entry of another writer where the progress of a completed job is stored, the next coordinator starts the job again (2 starts of its task, 1 asked for), without a line in its log. Its worker refuses the start, as it remembers the run; another worker would have run it (TWICE). The refusals hold up other jobs: one stays queued for 5 s.

Cause: progress that can't be read counted as no progress.

Change: such a job is left alone, with a log line. What ran of it isn't known any more, and the other jobs hold. Its callers get no state, as before.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -51,6 +51,12 @@
 	if (progress != NULL)
 		has_progress = fields_decode(
 			&wl_progress_fields, &p, progress->data, progress->len, NULL);
+	if (progress != NULL && !has_progress) {
+		/* Its tasks may have run, so none is started. */
+		event_log(EV_BAD_INPUT, "from=store what=\"%s%s\"", KEY_PROGRESS, id);
+		fields_clear(&wl_spec_fields, &spec);
+		return;
+	}
 	/*
 	 * The entry wrote the job and its progress record in one transaction, so the record has
 	 * at least the job's revision.
