core: compute the longest chains of a job's steps once

Callers saw one accepted job of 32 steps in a row stop everything (LOST): the coordinator was busy in one pass, lost its term, and each successor read the job and did the same. Nothing started and all leases lapsed. Restarts didn't help, as the job is stored.

critical_path_from called itself in an argument of MAX, which evaluates the larger argument twice: 2^(n-1) calls for a chain of n steps, for each candidate and in each pass. Without the macro it would still have followed each path by itself, and the number of paths is exponential if steps share successors.

A pass now computes the longest chain from each step once for a job, from the last step to the first: linear in the dependencies, as a step depends on earlier steps only.

Looked for other macros with costly arguments or side effects in packages/ and platform/: the others read a field or the clock twice, sched-fit.c a small count; none calls itself and none changes anything.

--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -73,27 +73,24 @@
 	bool can_defer;
 };
 
-/* Estimated time of the longest dependency chain from a step to the end of the job. */
-static int64_t critical_path_from(struct wl_job *j, uint32_t step)
-{
-	int64_t successors = 0;
-
-	for (uint32_t s = step + 1; s < j->spec.steps_len; s++) {
-		for (uint32_t k = 0; k < j->spec.steps[s].after_len; k++) {
-			if (j->spec.steps[s].after[k].step == step)
-				successors = MAX(successors, critical_path_from(j, s));
-		}
-	}
-	return step_estimate(j, &j->spec.steps[step]) + successors;
-}
-
-/* Estimated time of the longest dependency chain of a job. */
-static int64_t critical_path(struct wl_job *j)
+/*
+ * Computes for each step of a job the estimated time of the longest dependency chain from it to
+ * the end of the job. Returns the longest of all. A step depends on earlier steps only.
+ */
+static int64_t critical_paths(struct wl_job *j, int64_t paths[WL_STEPS_MAX])
 {
 	int64_t longest = 0;
 
-	for (uint32_t s = 0; s < j->spec.steps_len; s++)
-		longest = MAX(longest, critical_path_from(j, s));
+	memset(paths, 0, j->spec.steps_len * sizeof(*paths));
+	for (uint32_t s = j->spec.steps_len; s-- > 0;) {
+		const struct wl_step *step = &j->spec.steps[s];
+
+		/* So far the longest chain of the steps that depend on this one. */
+		paths[s] += step_estimate(j, step);
+		longest = MAX(longest, paths[s]);
+		for (uint32_t k = 0; k < step->after_len; k++)
+			paths[step->after[k].step] = MAX(paths[step->after[k].step], paths[s]);
+	}
 	return longest;
 }
 
@@ -156,7 +153,8 @@
 /* Appends the units of a job that can be placed now. */
 static void collect_candidates(struct wl *w, struct wl_job *j, int64_t now, GArray *out)
 {
-	int64_t chain = critical_path(j);
+	int64_t paths[WL_STEPS_MAX];
+	int64_t chain = critical_paths(j, paths);
 
 	for (uint32_t k = 0; k < j->occurrences_len; k++) {
 		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
@@ -170,10 +168,9 @@
 				u->ready_at = now;
 			c.within_guarantee = s == 0 && unit_within_guarantee(w, u);
 			allowed = (int64_t)((double)chain * j->stretch) + j->target;
-			c.slack = j->added_at + allowed - now - critical_path_from(j, s);
+			c.slack = j->added_at + allowed - now - paths[s];
 			if (j->spec.repetitions > 0)
-				c.slack =
-					u->ready_at + allowed - now - critical_path_from(j, s);
+				c.slack = u->ready_at + allowed - now - paths[s];
 			c.can_defer = c.slack > (int64_t)(DEFER_SLACK_SHARE * (double)allowed);
 			if (c.slack < 0) {
 				c.slack += (EXPIRED_FACTOR - 1) * allowed;
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -5,6 +5,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* No start order is sent before the task's placement is stored. */
 static void test_placement_stored_before_start(void)
@@ -24,6 +25,75 @@
 	fixture_clear(&f);
 }
 
+/* Submits a job whose steps depend on all steps of the layer before; a layer has width steps.
+ */
+static void submit_layers(struct fixture *f, const char *id, uint32_t steps, uint32_t width,
+	const uint32_t *estimates_ms)
+{
+	struct wl_step list[WL_STEPS_MAX] = {0};
+	struct wl_step_ref after[WL_STEPS_MAX];
+	struct wl_spec spec = {.id = (char *)id,
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = list,
+		.steps_len = steps};
+
+	for (uint32_t s = 0; s < steps; s++) {
+		after[s].step = s;
+		list[s] = (struct wl_step){.count = 1,
+			.accelerators = 8,
+			.estimate_ms = estimates_ms != NULL ? estimates_ms[s] : 100};
+		if (s >= width) {
+			list[s].after = &after[s - s % width - width];
+			list[s].after_len = width;
+		}
+	}
+	wl_job_add(f->wl, f->now, f->now, &spec, NULL);
+}
+
+/*
+ * A job with a long chain of steps, or with many paths through them, is accepted: a pass takes
+ * so long that the coordinator loses its term, and so does the next one.
+ */
+static void test_pass_time_of_many_paths(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_layers(&f, "0000000000000001", WL_STEPS_MAX, 1, NULL);
+	submit_layers(&f, "0000000000000002", WL_STEPS_MAX, 4, NULL);
+	/* Ends the process if the pass doesn't end. */
+	alarm(10);
+	run_pass(&f);
+	alarm(0);
+	CU_ASSERT_EQUAL(f.starts, 1);
+	fixture_clear(&f);
+}
+
+/* Of two jobs, the one whose longest chain of steps is shorter has less slack. */
+static void test_order_by_longest_chain(void)
+{
+	const uint32_t short_chain[] = {100, 900, 100, 8500};
+	const uint32_t long_chain[] = {100, 9500, 100, 400};
+
+	for (int first = 0; first <= 1; first++) {
+		struct fixture f;
+
+		fixture_init(&f);
+		report_worker(&f, "w1", NULL, 0, NULL, 0);
+		submit_layers(&f, "0000000000000001", 4, 2, first ? long_chain : short_chain);
+		submit_layers(&f, "0000000000000002", 4, 2, first ? short_chain : long_chain);
+		run_pass(&f);
+		CU_ASSERT_EQUAL(f.starts, 1);
+		CU_ASSERT_EQUAL(strncmp(f.last_start,
+					first ? "0000000000000002" : "0000000000000001", 16),
+			0);
+		fixture_clear(&f);
+	}
+}
+
 /*
  * Small batch tasks are queued, then an urgent job needs a whole worker. It starts at once
  * without preemption, as the batch tasks don't fill all workers.
@@ -653,6 +723,10 @@
 		test_odd_heartbeats);
 	CU_add_test(s, "a placement is stored before its start order",
 		test_placement_stored_before_start);
+	CU_add_test(s, "a pass with many paths through a job's steps ends",
+		test_pass_time_of_many_paths);
+	CU_add_test(
+		s, "the longest chain of steps decides the order", test_order_by_longest_chain);
 	CU_add_test(s, "headroom for urgent work", test_headroom);
 	CU_add_test(s, "a guarantee is reclaimed", test_reclaim);
 	CU_add_test(s, "an urgent job waits for a run that is about to end",
