core: store a queue's settings with its jobs

A job whose queue isn't in the configuration keeps its last settings, but these were in the coordinator's memory only. The next coordinator used fixed ones, for good if the job failed by them. The same held while a new coordinator had read its jobs and not yet the configuration.

The entry now stores the settings with the job, in the transaction that requires the configuration they are from, and the coordinator stores later ones with the job's progress. If a new configuration changes them, the passes store them for up to 20 jobs each, so that the jobs of a large queue don't delay the starts. Jobs and records of earlier versions have no settings: they are read as before and get the fixed ones only while their queue is missing.

Tried: settings in the progress record alone. A coordinator that learns of a new job by the watch reads no progress record, so a job whose route was taken away right after its acceptance would still have got the fixed ones.

--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -224,6 +224,7 @@
 	c->spec.queue = xstrdup(c->queue);
 	c->spec.service = xstrdup(q->service);
 	c->spec.org = xstrdup(c->org);
+	wl_queue_settings(q, &c->spec.settings);
 	store_job(c);
 }
 
--- a/packages/workload/wl-config.c
+++ b/packages/workload/wl-config.c
@@ -35,6 +35,16 @@
 	return c;
 }
 
+/* Returns what the jobs of a queue keep of its settings if the queue is removed. */
+void wl_queue_settings(const struct wl_queue *q, struct wl_settings *out)
+{
+	*out = (struct wl_settings){.priority = q->priority,
+		.attempts_max = MAX(q->attempts_max, 1),
+		.stretch_milli = (uint32_t)CLAMP(q->stretch * 1000 + 0.5, 0, UINT32_MAX),
+		.target_ms = q->target_ms,
+		.approval = q->approval};
+}
+
 /* Adds a queue and takes ownership of it. */
 void wl_config_add_queue(struct wl_config *c, struct wl_queue *q)
 {
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -2,7 +2,7 @@
 
 #include <inttypes.h>
 
-/* Settings of a job whose queue has been removed from the configuration. */
+/* Settings of a job that was accepted by an earlier version, without its queue. */
 #define FALLBACK_PRIORITY 9
 #define FALLBACK_ATTEMPTS 3
 #define FALLBACK_STRETCH  3.0
@@ -147,30 +147,45 @@
 	return true;
 }
 
+/* Applies a job's settings, or the fallback if they are not known. */
+static void apply_settings(struct wl_job *j)
+{
+	const struct wl_settings *s = &j->settings;
+	bool known = s->attempts_max > 0;
+
+	j->priority = known ? s->priority : FALLBACK_PRIORITY;
+	j->attempts_max = known ? s->attempts_max : FALLBACK_ATTEMPTS;
+	j->stretch = known ? s->stretch_milli / 1000.0 : FALLBACK_STRETCH;
+	j->target = s->target_ms * NSEC_PER_MSEC;
+	j->approval = s->approval;
+}
+
+/* Whether two settings are the same. */
+static bool settings_equal(const struct wl_settings *a, const struct wl_settings *b)
+{
+	return a->priority == b->priority && a->attempts_max == b->attempts_max &&
+	       a->stretch_milli == b->stretch_milli && a->target_ms == b->target_ms &&
+	       a->approval == b->approval;
+}
+
 /*
  * Copies the queue's settings from the configuration. If the queue has been removed, the job
- * keeps its last settings, or gets the fallback settings if it never had any, and uses the
- * service of its spec.
+ * keeps its last settings and uses the service of its spec.
  */
 void job_update_settings(struct wl_job *j)
 {
 	const struct wl_queue *q = wl_config_queue(j->wl->config, j->spec.queue);
+	struct wl_settings settings;
 
-	if (q == NULL) {
-		if (j->service == NULL || j->attempts_max == 0) {
-			j->priority = FALLBACK_PRIORITY;
-			j->attempts_max = FALLBACK_ATTEMPTS;
-			j->stretch = FALLBACK_STRETCH;
-		}
-		name_set(&j->service, j->spec.service);
+	name_set(&j->service, q != NULL ? q->service : j->spec.service);
+	if (q == NULL)
 		return;
-	}
-	j->priority = q->priority;
-	j->attempts_max = MAX(q->attempts_max, 1);
-	j->stretch = q->stretch;
-	j->target = q->target_ms * NSEC_PER_MSEC;
-	name_set(&j->service, q->service);
-	j->approval = q->approval;
+	wl_queue_settings(q, &settings);
+	if (settings_equal(&settings, &j->settings))
+		return;
+	j->settings = settings;
+	j->settings_unsaved = true;
+	apply_settings(j);
 }
 
 /* Increments the version of a job's progress and requests that it be stored. */
@@ -262,6 +277,8 @@
 	j->demand = org_demand_get(w, j->spec.org);
 	w->changed = true;
 	w->demands_stale = true;
+	j->settings = p != NULL && p->settings.attempts_max > 0 ? p->settings : spec->settings;
+	apply_settings(j);
 	job_update_settings(j);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
@@ -373,7 +390,9 @@
 	p = (struct wl_progress){.state = j->state,
 		.queue = j->spec.queue,
 		.org = j->spec.org,
-		.ended_ms = j->ended_ms};
+		.ended_ms = j->ended_ms,
+		.settings = j->settings};
+	j->settings_unsaved = false;
 	for (uint32_t k = 0; !wl_state_ended(j->state) && k < j->occurrences_len; k++) {
 		for (uint32_t s = 0; s < j->spec.steps_len; s++)
 			append_unit_marks(marks, &j->occurrences[k][s]);
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -34,6 +34,15 @@
 };
 static const struct field_table wl_step_fields = TABLE(wl_step);
 
+static const struct field wl_settings_list[] = {
+	U32(wl_settings, priority),
+	U32(wl_settings, attempts_max),
+	U32(wl_settings, stretch_milli),
+	I64(wl_settings, target_ms),
+	BOOL(wl_settings, approval),
+};
+static const struct field_table wl_settings_fields = TABLE(wl_settings);
+
 static const struct field wl_spec_list[] = {
 	TEXT(wl_spec, id),
 	TEXT(wl_spec, queue),
@@ -45,6 +54,7 @@
 	I64(wl_spec, start_at_ms),
 	I64(wl_spec, interval_ms),
 	I64(wl_spec, accepted_ms),
+	STRUCT(wl_spec, settings, wl_settings),
 };
 const struct field_table wl_spec_fields = TABLE(wl_spec);
 
@@ -69,6 +79,7 @@
 	TEXT(wl_progress, org),
 	I64(wl_progress, ended_ms),
 	LIST(wl_progress, marks, wl_mark),
+	STRUCT(wl_progress, settings, wl_settings),
 };
 const struct field_table wl_progress_fields = TABLE(wl_progress);
 
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -10,6 +10,11 @@
 #define RESERVATION_TRIES_MAX 3
 /* A gang that has run incomplete for this long is stopped, to be restarted as a whole. */
 #define GANG_RESTART_DELAY (2 * NSEC_PER_SEC)
+/*
+ * Most jobs per pass whose changed settings are requested to be stored: a new configuration may
+ * change those of all jobs of a queue at once, and starts have to be stored meanwhile.
+ */
+#define SETTINGS_STORED_MAX 20
 /* Minimum interval between two requests to store new checkpoints of the same job. */
 #define CHECKPOINT_STORE_INTERVAL (2 * NSEC_PER_SEC)
 /* Units with more slack than this share of their objective don't use the headroom. */
@@ -312,6 +317,19 @@
 	job_request_store(j, WL_STORE_SOON);
 }
 
+/*
+ * Stores changed settings: the queue may be missing from the configuration when another
+ * coordinator takes over. budget is the number of jobs that may still be stored in this pass.
+ */
+static void store_settings(struct wl_job *j, unsigned int *budget)
+{
+	if (!j->settings_unsaved || *budget == 0)
+		return;
+	(*budget)--;
+	j->settings_unsaved = false;
+	job_request_store(j, WL_STORE_SOON);
+}
+
 void wl_totals(const struct wl *w, struct wl_totals *out)
 {
 	const struct wl_job *j;
@@ -345,6 +363,7 @@
 {
 	g_autoptr(GArray) order = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	unsigned int reservation_tries = 0;
+	unsigned int settings_budget = SETTINGS_STORED_MAX;
 	bool headroom_selected = false;
 	int64_t next = IDLE_PASS_INTERVAL;
 	struct wl_job *j;
@@ -364,6 +383,7 @@
 			continue;
 		job_open_due_occurrences(j, now, wall);
 		store_checkpoints(j, now);
+		store_settings(j, &settings_budget);
 		due = job_next_due(j);
 		/* One that is due already waits for the end of a task. */
 		if (due > wall)
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -176,7 +176,12 @@
 	bool checkpoints_unsaved;
 	/* When a pass last requested that new checkpoints be stored. */
 	int64_t checkpoints_at;
-	/* Settings of the queue, from the latest configuration that contains it. */
+	/*
+	 * Settings of the queue, from the latest configuration that contains it. Until one has
+	 * been read they are those of the job's record.
+	 */
+	struct wl_settings settings;
+	bool settings_unsaved; /* the stored ones differ */
 	uint32_t priority;
 	uint32_t attempts_max;
 	/*
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -54,6 +54,18 @@
 	uint32_t unavailable_max;
 };
 
+/*
+ * The settings of its queue that a job keeps while the configuration lacks the queue. See
+ * wl_queue for their meaning.
+ */
+struct wl_settings {
+	uint32_t priority;
+	uint32_t attempts_max;	/* 0: the settings are not known */
+	uint32_t stretch_milli; /* thousandths of wl_queue.stretch */
+	int64_t target_ms;
+	bool approval;
+};
+
 /* A job as submitted; immutable once accepted. */
 struct wl_spec {
 	char *id;
@@ -67,7 +79,8 @@
 	uint32_t repetitions; /* 0: run once, immediately */
 	int64_t start_at_ms;
 	int64_t interval_ms;
-	int64_t accepted_ms; /* wall clock of the entry process that accepted it */
+	int64_t accepted_ms;	     /* wall clock of the entry process that accepted it */
+	struct wl_settings settings; /* as accepted; not in jobs of earlier versions */
 };
 
 enum wl_state {
@@ -106,6 +119,8 @@
 	int64_t ended_ms;
 	struct wl_mark *marks;
 	uint32_t marks_len;
+	/* As last known; not known in new records and in those of earlier versions. */
+	struct wl_settings settings;
 };
 extern const struct field_table wl_spec_fields;
 extern const struct field_table wl_progress_fields;
@@ -131,6 +146,7 @@
 	/* Starts require a ticket from the approval service. */
 	bool approval;
 };
+void wl_queue_settings(const struct wl_queue *q, struct wl_settings *out);
 /* An organisation with its API keys. */
 struct wl_org {
 	char *name;
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -413,6 +413,153 @@
 	fixture_clear(&f);
 }
 
+/* Reports that the last start has failed, and starts the task again after its delay. */
+static void fail_attempt(struct fixture *f, uint64_t number)
+{
+	struct wl_ended end = {.number = number,
+		.task = f->last_start,
+		.attempt = f->last_attempt,
+		.how = WL_END_FAILED};
+
+	report_worker(f, "w1", NULL, 0, &end, 1);
+	f->now += 10 * SEC;
+	report_worker(f, "w1", NULL, 0, NULL, 0);
+	run_pass(f);
+}
+
+/* Decodes a job's record and returns its state. */
+static uint32_t read_record(struct fixture *f, const char *id, struct wl_progress *p)
+{
+	uint64_t version;
+	struct bytes stored = wl_job_progress(f->wl, id, &version);
+
+	CU_ASSERT_TRUE(fields_decode(&wl_progress_fields, p, stored.data, stored.len, NULL));
+	bytes_clear(&stored);
+	return p->state;
+}
+
+/* Returns the state of a stored job after its task has failed a number of times more. */
+static uint32_t state_after_failures(
+	const struct wl_settings *accepted, struct wl_progress *record, unsigned int failures)
+{
+	struct fixture f;
+	struct wl_progress p = {0};
+	struct wl_step step = {.count = 1, .accelerators = 1, .estimate_ms = 1000};
+	struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"removed",
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = &step,
+		.steps_len = 1,
+		.settings = *accepted};
+	uint32_t state;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	wl_job_add(f.wl, f.now, f.now, &spec, record);
+	run_pass(&f);
+	for (unsigned int i = 1; i <= failures; i++)
+		fail_attempt(&f, i);
+	state = read_record(&f, spec.id, &p);
+	fields_clear(&wl_progress_fields, &p);
+	fixture_clear(&f);
+	return state;
+}
+
+/*
+ * The coordinator restarts while the configuration lacks a job's queue: the job must not fail
+ * before, nor run after, the attempts that its queue allowed.
+ */
+static void test_settings_survive_takeover(void)
+{
+	struct fixture f;
+	const struct wl_settings unknown = {0};
+	struct wl_queue *q = xcalloc(1, sizeof(*q));
+	struct wl_progress record = {0};
+
+	fixture_init(&f);
+	q->name = xstrdup("removed");
+	q->host = xstrdup("h");
+	q->prefix = xstrdup("removed");
+	q->service = xstrdup("s");
+	q->attempts_max = 6;
+	q->stretch = 3;
+	wl_config_add_queue(f.config, q);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "removed", 1, 1, 1000, false);
+	run_pass(&f);
+	fail_attempt(&f, 1);
+	fail_attempt(&f, 2);
+	read_record(&f, "0000000000000001", &record);
+	CU_ASSERT_EQUAL(record.marks_len, 1);
+	CU_ASSERT_EQUAL(record.marks[0].failures, 2);
+	/* The fixtures have the same term, so the next one counts attempts from 1 as well. */
+	record.marks[0].failed_attempt = 0;
+	CU_ASSERT_NOT_EQUAL(state_after_failures(&unknown, &record, 3), WL_FAILED);
+	CU_ASSERT_EQUAL(state_after_failures(&unknown, &record, 4), WL_FAILED);
+	fields_clear(&wl_progress_fields, &record);
+	fixture_clear(&f);
+}
+
+/* The queue is removed before the coordinator reads the job: the settings at acceptance hold.
+ */
+static void test_settings_as_accepted(void)
+{
+	const struct wl_settings accepted = {
+		.priority = 1, .attempts_max = 5, .stretch_milli = 3000};
+
+	CU_ASSERT_NOT_EQUAL(state_after_failures(&accepted, NULL, 4), WL_FAILED);
+	CU_ASSERT_EQUAL(state_after_failures(&accepted, NULL, 5), WL_FAILED);
+}
+
+/* A record of an earlier version has no settings: it is read, and gets the fallback. */
+static void test_record_without_settings(void)
+{
+	const struct wl_progress old = {
+		.state = WL_RUNNING, .queue = (char *)"removed", .org = (char *)"o"};
+	const struct wl_settings unknown = {0};
+	struct field_table table = wl_progress_fields;
+	struct wl_progress record = {0};
+	struct bytes stored;
+
+	table.count--;
+	stored = fields_encode(&table, &old);
+	CU_ASSERT_TRUE(
+		fields_decode(&wl_progress_fields, &record, stored.data, stored.len, NULL));
+	CU_ASSERT_NOT_EQUAL(state_after_failures(&unknown, &record, 2), WL_FAILED);
+	CU_ASSERT_EQUAL(state_after_failures(&unknown, &record, 3), WL_FAILED);
+	fields_clear(&wl_progress_fields, &record);
+	bytes_clear(&stored);
+}
+
+/*
+ * A new configuration changes the settings of jobs that wait: they are stored without another
+ * change of the jobs, a bounded number in a pass.
+ */
+static void test_changed_settings_stored(void)
+{
+	struct fixture f;
+	struct wl_queue *q;
+	struct wl_progress record = {0};
+
+	fixture_init(&f);
+	for (unsigned int i = 1; i <= 100; i++)
+		submit_job(&f, i, "batch", 1, 1, 1000, false);
+	run_pass(&f);
+	q = (struct wl_queue *)wl_config_queue(f.config, "batch");
+	q->attempts_max = 5;
+	wl_set_config(f.wl, f.config);
+	wl_pass(f.wl, f.now, f.now);
+	CU_ASSERT_TRUE(f.dirty->len > 0 && f.dirty->len <= 20);
+	for (int i = 0; i < 20; i++)
+		wl_pass(f.wl, f.now, f.now);
+	CU_ASSERT_EQUAL(f.dirty->len, 100);
+	read_record(&f, "0000000000000001", &record);
+	CU_ASSERT_EQUAL(record.settings.attempts_max, 5);
+	fields_clear(&wl_progress_fields, &record);
+	fixture_clear(&f);
+}
+
 /*
  * A checkpoint that a worker reports is part of the job's progress, which becomes due for
  * storing while the run goes on. Once stored, it survives a power loss of all VMs.
@@ -727,6 +874,13 @@
 		test_pass_time_of_many_paths);
 	CU_add_test(
 		s, "the longest chain of steps decides the order", test_order_by_longest_chain);
+	CU_add_test(s, "a queue's settings survive a takeover without the queue",
+		test_settings_survive_takeover);
+	CU_add_test(s, "a job keeps the settings with which it was accepted",
+		test_settings_as_accepted);
+	CU_add_test(
+		s, "a record without settings gets the fallback", test_record_without_settings);
+	CU_add_test(s, "changed settings are stored", test_changed_settings_stored);
 	CU_add_test(s, "headroom for urgent work", test_headroom);
 	CU_add_test(s, "a guarantee is reclaimed", test_reclaim);
 	CU_add_test(s, "an urgent job waits for a run that is about to end",
