entry: answer a known job only by the configuration in force

Callers saw a submission answered with 200 by a key that had been taken away more than 5 s before (CONFIG): an entry that stood still read it and answered by the configuration that it had.

A submission is dispatched by the configuration at hand, as the transaction that stores it requires that configuration's revision. If the transaction found both the configuration changed and the job stored, the entry answered 200 without looking at the new configuration. The call is now routed again by it, and 200 for a known job means that the configuration was in force as well.

Looking for the same elsewhere in the file: the second write after one without an answer, and the write of a cancellation, required the newest configuration that the entry had, not the one by which the call had been routed. Both now require the latter. A call whose write may have stored the job is answered with 504 whatever a newer configuration says of it, as a refusal would say that the job doesn't run; a conflict on the configuration alone proves that it wasn't stored and never will be.

--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -101,6 +101,7 @@
 	char *id;
 	const char *queue; /* a copy, as the configuration may be replaced during the call */
 	char *org;
+	int64_t config_revision; /* of the configuration by which the call was routed */
 	int64_t arrived;
 	int64_t deadline;
 	unsigned int tries;
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -80,6 +80,11 @@
 	AUTOFREE char *body = NULL;
 	g_autofree char *after = NULL;
 
+	/* A refusal would say that the job doesn't run. */
+	if (c->kind == PF_CALL_SUBMIT && c->outcome_unknown && status != 504) {
+		status = 504;
+		retry_after_s = RETRY_AFTER_S;
+	}
 	event_log(EV_DENY, "path=%s status=%d reason=\"%s\" config_age_ms=%" PRId64, c->path,
 		status, reason,
 		MIN(config_feed_age(c->entry->feed) / NSEC_PER_MSEC, (int64_t)1000000));
@@ -122,26 +127,28 @@
 static void on_submit_stored(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
-	struct config_feed *feed = c->entry->feed;
-	const struct wl_config *config = config_feed_get(feed);
-	int64_t config_revision = config != NULL ? config->revision : 0;
 	bool exists = false;
+	bool config_changed = false;
 	int64_t now = loop_now(c->entry->p->loop);
 
-	config_feed_apply_result(feed, r);
+	config_feed_apply_result(c->entry->feed, r);
 	for (size_t i = 0; i < r->items_len; i++) {
-		if (g_str_has_prefix(r->items[i].key, KEY_JOB) && r->items[i].revision > 0)
+		const struct kv_item *it = &r->items[i];
+
+		if (g_str_has_prefix(it->key, KEY_JOB) && it->revision > 0)
 			exists = true;
+		if (strcmp(it->key, PF_CONFIG_KEY) == 0)
+			config_changed = it->revision != c->config_revision;
 	}
 	switch (r->status) {
 	case KV_OK:
 	case KV_CONFLICT:
-		if (r->status == KV_OK || exists) {
+		if (r->status == KV_OK || (exists && !config_changed)) {
 			event_log(EV_SUBMIT,
 				"job=%s queue=%s org=%s status=200 reason=%s config=%" PRId64
 				" took_ms=%" PRId64,
 				c->id, c->queue, c->org ? c->org : "-",
-				r->status == KV_OK ? "stored" : "known", config_revision,
+				r->status == KV_OK ? "stored" : "known", c->config_revision,
 				(now - c->arrived) / NSEC_PER_MSEC);
 			counter_add(&accepted_total, 1);
 			note_stored(c, KEY_JOB);
@@ -149,10 +156,13 @@
 			reply(c, 200, NULL);
 			return;
 		}
+		/* Earlier writes of this call required an older configuration too. */
+		if (!exists && config_changed)
+			c->outcome_unknown = false;
 		c->tries++;
 		if (retries_exhausted(c))
-			entry_call_reply_error(c, c->outcome_unknown ? 504 : 503, RETRY_AFTER_S,
-				"the configuration keeps changing");
+			entry_call_reply_error(
+				c, 503, RETRY_AFTER_S, "the configuration keeps changing");
 		else
 			reroute(c);
 		return;
@@ -177,12 +187,14 @@
 		store_job(c);
 }
 
-/* Stores a job, on condition that it is new and that the configuration is unchanged. */
+/*
+ * Stores a job, on condition that it is new and that the configuration by which the call was
+ * routed is still in force.
+ */
 static void store_job(struct entry_call *c)
 {
 	struct wl_progress progress = {
 		.state = WL_QUEUED, .queue = (char *)c->queue, .org = c->org};
-	const struct wl_config *config = config_feed_get(c->entry->feed);
 	struct bytes spec = fields_encode(&wl_spec_fields, &c->spec);
 	struct bytes progress_record = fields_encode(&wl_progress_fields, &progress);
 	AUTOFREE char *job_key = NULL;
@@ -191,7 +203,7 @@
 
 	xasprintf(&job_key, KEY_JOB "%s", c->id);
 	xasprintf(&progress_key, KEY_PROGRESS "%s", c->id);
-	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, config->revision};
+	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, c->config_revision};
 	t.expect[1] = (struct kv_condition){job_key, 0};
 	t.write[0] = (struct kv_write){job_key, spec.data, spec.len, 0};
 	t.write[1] =
@@ -296,7 +308,6 @@
 static void on_cancel_state_read(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
-	const struct wl_config *config = config_feed_get(c->entry->feed);
 	struct wl_progress p = {0};
 	AUTOFREE char *key = NULL;
 	struct kv_txn t = {.expect_len = 1, .write_len = 1};
@@ -324,7 +335,7 @@
 		return;
 	}
 	xasprintf(&key, KEY_CANCEL "%s", c->id);
-	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, config->revision};
+	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, c->config_revision};
 	t.write[0] = (struct kv_write){key, "", 0, 0};
 	kv_commit(c->entry->p->kv, &t, on_cancel_stored, c);
 }
@@ -445,6 +456,7 @@
 		entry_call_reply_error(c, 404, 0, "there is no such queue");
 		return;
 	}
+	c->config_revision = config->revision;
 	rest = c->path + strlen(q->prefix);
 	c->kind = pf_call_kind(http_method(c->request), rest);
 	if (!authenticate(c, config, q))
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -23,6 +23,8 @@
  * of their time says that there was none
  *   {"drop_answers":3}   the next 3 transactions that write a key are committed and answered
  *                        with 500; those that only remove keys are answered as usual
+ *   {"config":{...}}     a new configuration
+ *   {"config_after_drop":{...}} the same, right after the next dropped answer
  *   {"crash":"WORKER"}   the worker loses its state and starts again under its id; what
  *                        late_orders delays is carried out by the new life
  *   {"born_ms":-5000}    moves the start times that workers report from their next start on
@@ -142,6 +144,7 @@
 static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
+static json_t *config_after_drop;
 static json_int_t starts_to_delay;
 static json_int_t start_answers_to_drop;
 static json_int_t starts_to_refuse;
@@ -302,6 +305,17 @@
 	}
 }
 
+/* Puts a configuration in force. */
+static void set_config(const json_t *config)
+{
+	AUTOFREE char *text = json_dumps(config, JSON_COMPACT);
+	g_autofree char *encoded = g_base64_encode((guchar *)text, strlen(text));
+
+	revision++;
+	item_set("op/config", encoded, 0);
+	answer_pending_requests();
+}
+
 /* kv-txn: writes and removes keys if all conditions hold. */
 static void handle_txn(struct http_request *r, const json_t *in)
 {
@@ -342,6 +356,10 @@
 		/* Committed, but the caller cannot tell from the answer. */
 		txn_answers_to_drop--;
 		http_reply(r, 500, NULL, "", 0);
+		if (config_after_drop != NULL)
+			set_config(config_after_drop);
+		json_decref(config_after_drop);
+		config_after_drop = NULL;
 	} else {
 		reply(r, 200, json_pack("{s:I}", "revision", (json_int_t)revision));
 	}
@@ -526,6 +544,10 @@
 		second_addr_down = !json_is_true(json_object_get(in, "door"));
 	if (json_object_get(in, "drop_answers") != NULL)
 		txn_answers_to_drop = json_integer_value(json_object_get(in, "drop_answers"));
+	if (json_object_get(in, "config") != NULL)
+		set_config(json_object_get(in, "config"));
+	if (json_object_get(in, "config_after_drop") != NULL)
+		config_after_drop = json_deep_copy(json_object_get(in, "config_after_drop"));
 	if (json_object_get(in, "late_orders") != NULL)
 		starts_to_delay = json_integer_value(json_object_get(in, "late_orders"));
 	if (json_object_get(in, "deaf_watches") != NULL)
