core: queue a job again whose starts were all refused

A job's state is stored as running with its first placement, and the entries count the stored states. Nothing set the state back when the start was refused.

A job none of whose runs is known to have started, and whose tasks all wait again, is now queued again, and that is stored (log line job-requeued). A confirmed run, a listed end, or a stored mark of one count as a start. Storing the state as running only with the first confirmed run would cost a write more for each job; this costs one for each refusal of a job that hasn't begun.

Evidence: the new unit test fails on the code before (2 asserts) and passes now.

Left: a coordinator that takes over believes a stored "running" until a start of its own is refused.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -48,6 +48,7 @@
 EVENT(EV_WORKER_PROBATION, "worker-probation", "node pause_ms",
 	"a run failed at its start: the worker gets no tasks for a while")
 EVENT(EV_JOB_SEEN, "job-seen", "job queue org tasks revision", "the coordinator has a new job")
+EVENT(EV_JOB_REQUEUED, "job-requeued", "job", "no start of a placed job took effect")
 EVENT(EV_JOB_REPLACED, "job-replaced", "job",
 	"another job was accepted under the id of a removed one")
 EVENT(EV_JOB_END, "job-end", "job state why", "a job has ended")
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -38,6 +38,7 @@
  *   {"gone":"WORKER"}    the worker loses its state, sends no heartbeats, and answers calls
  * with 500 without carrying them out, until "gone" names another or none
  *   {"late_orders":2}    the next 2 starts are answered with 500 and carried out later
+ *   {"busy":true}        all workers answer starts with 503 and don't carry them out
  *   {"lost_starts":1}    the next start is carried out and never answered
  *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
  *                        with "refuse_status" (503) and "refuse_reason", and not carried out
@@ -145,6 +146,7 @@
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
 static json_t *config_after_drop;
+static bool busy;
 static json_int_t starts_to_delay;
 static json_int_t start_answers_to_drop;
 static json_int_t starts_to_refuse;
@@ -548,6 +550,8 @@
 		set_config(json_object_get(in, "config"));
 	if (json_object_get(in, "config_after_drop") != NULL)
 		config_after_drop = json_deep_copy(json_object_get(in, "config_after_drop"));
+	if (json_object_get(in, "busy") != NULL)
+		busy = json_is_true(json_object_get(in, "busy"));
 	if (json_object_get(in, "late_orders") != NULL)
 		starts_to_delay = json_integer_value(json_object_get(in, "late_orders"));
 	if (json_object_get(in, "deaf_watches") != NULL)
@@ -768,9 +772,13 @@
 	return true;
 }
 
-/* Handles a start, delaying it or dropping its answer if a fault asks for that. */
+/* Handles a start; refuses it, delays it or drops its answer if a fault asks for that. */
 static void worker_start(struct worker *w, struct http_request *q, const json_t *in)
 {
+	if (busy) {
+		reply(q, 503, json_object());
+		return;
+	}
 	if (starts_to_delay > 0) {
 		struct delayed_start *d = xcalloc(1, sizeof(*d));
 
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -227,6 +227,8 @@
 	if (m->occurrence >= j->occurrences_len || m->step >= j->spec.steps_len)
 		return;
 	u = &j->occurrences[m->occurrence][m->step];
+	if (m->done || m->failures > 0 || m->checkpoint != NULL)
+		j->begun = true;
 	if (m->index == WL_INDEX_GANG) {
 		u->failures = m->failures;
 		u->failed_attempt = m->failed_attempt;
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -161,6 +161,7 @@
 	struct wl *wl;
 	struct wl_spec spec;
 	uint32_t state;
+	bool begun; /* a run of a task is known to have started */
 	int64_t added_at;
 	int64_t ended_ms;
 	/*
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -40,6 +40,31 @@
 	crash_task_attached(t);
 }
 
+/* Whether all tasks of a job wait to be placed. */
+static bool job_waits(const struct wl_job *j)
+{
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
+			if (j->occurrences[k][s].waiting_count != j->spec.steps[s].count)
+				return false;
+		}
+	}
+	return true;
+}
+
+/*
+ * Queues a job again none of whose starts took effect. Its state was stored with its first
+ * placement, and the depth of its queue is counted by the stored states.
+ */
+static void job_requeue_unstarted(struct wl_job *j)
+{
+	if (j->begun || j->state != WL_RUNNING || !job_waits(j))
+		return;
+	j->state = WL_QUEUED;
+	event_log(EV_JOB_REQUEUED, "job=%s", j->spec.id);
+	job_request_store(j, WL_STORE_SOON);
+}
+
 /*
  * Removes a task from its node after the run has ended or if it never started. The task waits
  * again unless it is done. why must be a constant string.
@@ -67,6 +92,7 @@
 	t->unconfirmed_node = NULL;
 	t->waiting_since = now;
 	t->unit->waiting_count++;
+	job_requeue_unstarted(t->unit->job);
 }
 
 /* Makes an unconfirmed task wait again, as it is known not to be running. */
@@ -97,6 +123,7 @@
 /* Records that a worker has confirmed a run. */
 void task_confirm_running(struct wl_task *t, int64_t now)
 {
+	t->unit->job->begun = true;
 	if (t->phase != TASK_STARTING)
 		return;
 	t->phase = TASK_RUNNING;
@@ -345,6 +372,7 @@
 			task_detach(t, now, "ended");
 		return;
 	}
+	t->unit->job->begun = true;
 	current = t->node == n && t->attempt == e->attempt;
 	started_at = current ? t->placed_at : 0;
 	t->attempt = MAX(t->attempt, e->attempt);
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -560,6 +560,56 @@
 	fixture_clear(&f);
 }
 
+/* Returns the state in the record of the job 0000000000000001. */
+static uint32_t stored_state(struct fixture *f)
+{
+	struct wl_progress p = {0};
+	uint32_t state = read_record(f, "0000000000000001", &p);
+
+	fields_clear(&wl_progress_fields, &p);
+	return state;
+}
+
+/* Answers the last start order. */
+static void answer_start(struct fixture *f, uint32_t how)
+{
+	const struct wl_answer_note answer = {.worker_instance = (char *)"w1@1",
+		.task = f->last_start,
+		.attempt = f->last_attempt,
+		.ordinal = f->ordinal,
+		.answer = how};
+
+	wl_node_answer(f->wl, f->now, &answer);
+}
+
+/*
+ * A job that is placed and refused waits: it must count as queued again, or the depth of its
+ * queue is told as 0. Once a run has started it stays running.
+ */
+static void test_refused_job_is_queued(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "urgent", 1, 8, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(stored_state(&f), WL_RUNNING);
+	answer_start(&f, WL_ANSWER_UNHEALTHY);
+	CU_ASSERT_EQUAL(f.dirty->len, 1);
+	store_dirty_jobs(&f);
+	CU_ASSERT_EQUAL(stored_state(&f), WL_QUEUED);
+	f.now += 10 * SEC;
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	run_pass(&f);
+	answer_start(&f, WL_ANSWER_RUNNING);
+	CU_ASSERT_EQUAL(stored_state(&f), WL_RUNNING);
+	fail_attempt(&f, 1);
+	answer_start(&f, WL_ANSWER_UNHEALTHY);
+	CU_ASSERT_EQUAL(stored_state(&f), WL_RUNNING);
+	fixture_clear(&f);
+}
+
 /*
  * A checkpoint that a worker reports is part of the job's progress, which becomes due for
  * storing while the run goes on. Once stored, it survives a power loss of all VMs.
@@ -874,6 +924,7 @@
 		test_pass_time_of_many_paths);
 	CU_add_test(
 		s, "the longest chain of steps decides the order", test_order_by_longest_chain);
+	CU_add_test(s, "a job whose starts are refused is queued", test_refused_job_is_queued);
 	CU_add_test(s, "a queue's settings survive a takeover without the queue",
 		test_settings_survive_takeover);
 	CU_add_test(s, "a job keeps the settings with which it was accepted",
