entry: keep the cancellation of a job that isn't stored yet

Callers saw a job start seconds after its cancellation had been answered with 410 (UNASKED): both writes of its submission got no answer and were carried out later.

A cancellation of a job that the store didn't have left nothing behind, so the job was new to the coordinator when it came.

The entry now stores the cancellation of an unknown job before it answers 410, on the condition that there still is no job, under a store lease that it lets run out after 30 to 60 s. The coordinator cancels the job as soon as it reads it, as it did already for cancellations that it read first. The value of the key tells the organisation, so that nobody cancels a later job of another one, and a cancellation whose key has gone is forgotten. An entry's note of such a key is read if the watch doesn't tell of it.

A call costs a write more, and a lease every 30 s; while the store refuses the entry alone the call gets 503 instead of 410, as leases don't take the detour.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -26,6 +26,22 @@
 static void watch_inbox(struct wl_coord *c);
 static void list_inbox(struct wl_coord *c, const char *after);
 
+/* Cancels a job that was just added if its cancellation was read before it. */
+static void cancel_if_pending(struct wl_coord *c, const struct wl_spec *spec, int64_t now)
+{
+	const char *value = g_hash_table_lookup(c->pending_cancels, spec->id);
+	bool ours;
+
+	if (value == NULL)
+		return;
+	ours = *value == '\0' ||
+	       (g_str_has_prefix(value, CANCEL_BY) &&
+		       strcmp(value + strlen(CANCEL_BY), spec->org ? spec->org : "") == 0);
+	g_hash_table_remove(c->pending_cancels, spec->id);
+	if (ours)
+		wl_job_cancel(c->scheduler, now, clock_wall(loop_clock(c->p->loop)), spec->id);
+}
+
 /* Adds a job that an entry has stored, with its progress if there is any. */
 static void read_job(struct wl_coord *c, const struct kv_item *it)
 {
@@ -81,31 +97,36 @@
 		has_progress ? &p : NULL);
 	c->jobs_read++;
 	g_hash_table_remove(c->stored_progress, id);
+	cancel_if_pending(c, &spec, now);
 	fields_clear(&wl_spec_fields, &spec);
 	fields_clear(&wl_progress_fields, &p);
-	if (g_hash_table_remove(c->pending_cancels, id))
-		wl_job_cancel(c->scheduler, now, clock_wall(loop_clock(c->p->loop)), id);
 }
 
 /* Cancels a job, or remembers the cancellation if its key was read before the job's. */
-static void read_cancel(struct wl_coord *c, const char *id)
+static void read_cancel(struct wl_coord *c, const struct kv_item *it)
 {
+	const char *id = it->key + strlen(KEY_CANCEL);
+
 	if (wl_job_has(c->scheduler, id))
 		wl_job_cancel(c->scheduler, loop_now(c->p->loop),
 			clock_wall(loop_clock(c->p->loop)), id);
 	else
-		g_hash_table_add(c->pending_cancels, g_strdup(id));
+		g_hash_table_replace(c->pending_cancels, g_strdup(id),
+			g_strndup(it->value.data ? it->value.data : "", it->value.len));
 }
 
 /* Dispatches an inbox item by its key. */
 static void read_inbox_item(struct wl_coord *c, const struct kv_item *it)
 {
-	if (it->deleted)
+	if (it->deleted) {
+		if (g_str_has_prefix(it->key, KEY_CANCEL))
+			g_hash_table_remove(c->pending_cancels, it->key + strlen(KEY_CANCEL));
 		return;
+	}
 	if (g_str_has_prefix(it->key, KEY_JOB)) {
 		read_job(c, it);
 	} else if (g_str_has_prefix(it->key, KEY_CANCEL)) {
-		read_cancel(c, it->key + strlen(KEY_CANCEL));
+		read_cancel(c, it);
 	} else if (strcmp(it->key, KEY_TERM) == 0 && it->revision > c->term_revision) {
 		coord_lose_term(c, "another process acquired a term");
 	}
@@ -174,10 +195,16 @@
 /* Whether the coordinator does not know yet what is stored under a key of the inbox. */
 static bool key_is_news(const struct wl_coord *c, const char *key)
 {
+	const char *id;
+
 	if (g_str_has_prefix(key, KEY_JOB))
 		return !wl_job_has(c->scheduler, key + strlen(KEY_JOB));
-	return g_str_has_prefix(key, KEY_CANCEL) &&
-	       wl_job_is_open(c->scheduler, key + strlen(KEY_CANCEL));
+	if (!g_str_has_prefix(key, KEY_CANCEL))
+		return false;
+	id = key + strlen(KEY_CANCEL);
+	if (wl_job_has(c->scheduler, id))
+		return wl_job_is_open(c->scheduler, id);
+	return !g_hash_table_contains(c->pending_cancels, id);
 }
 
 static void on_note_timer(void *arg);
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -58,7 +58,8 @@
 	int64_t watch_revision;
 	bool listing;
 	GHashTable *stored_progress; /* encoded progress by job id, for jobs not read yet */
-	GHashTable *pending_cancels; /* ids of jobs to cancel once they are read */
+	/* Values of the cancellations of jobs that are not read yet, by the job's id. */
+	GHashTable *pending_cancels;
 	GPtrArray *agents;
 	GHashTable *agents_by_node;
 	GHashTable *agents_by_peer;
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -35,6 +35,12 @@
 #define KEY_COORDINATOR_ADDR "dp/lead"
 #define KEY_NODE	     "dp/node/" /* exists while the node may run tasks */
 
+/*
+ * The value of a cancellation's key is empty, or this and the name of the organisation whose
+ * job is cancelled if it is stored later.
+ */
+#define CANCEL_BY "by "
+
 /*
  * What the parts of a process share, whatever its role. The process itself, with its role and
  * signals, is struct wl_daemon in wl-process.c.
@@ -122,6 +128,9 @@
 	GHashTable *queue_depth_partial; /* the count that is under way, page by page */
 	int64_t queue_depth_at;
 	bool queue_depth_reading;
+	/* The store lease of early cancellations, and when it ends at the earliest. */
+	int64_t cancel_lease;
+	int64_t cancel_lease_until;
 	GPtrArray *queue_depth_waiters; /* entry_calls that wait for the count under way */
 };
 void entry_call_route(struct entry_call *c);
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -34,6 +34,13 @@
 /* A count of the queue depths is reused for this long. */
 #define QUEUE_DEPTH_AGE_MAX (700 * NSEC_PER_MSEC)
 
+/*
+ * How long the cancellation of a job that the store doesn't have is kept, at least and at most.
+ * A write of the job that got no answer is carried out within seconds.
+ */
+#define EARLY_CANCEL_KEEP_MIN (30 * NSEC_PER_SEC)
+#define EARLY_CANCEL_KEEP_MS  60000
+
 static void store_job(struct entry_call *c);
 static void cancel_job(struct entry_call *c);
 
@@ -304,7 +311,76 @@
 		cancel_job(c);
 }
 
-/* Stores the request to cancel, unless there is no such job or it has ended. */
+static void on_early_cancel_stored(const struct kv_result *r, void *arg)
+{
+	struct entry_call *c = arg;
+
+	config_feed_apply_result(c->entry->feed, r);
+	if (r->status == KV_OK) {
+		event_log(EV_CANCEL, "job=%s status=410", c->id);
+		note_stored(c, KEY_CANCEL);
+		reply(c, 410, NULL);
+		return;
+	}
+	/* The store lease has ended. */
+	if (r->status == KV_NOT_FOUND)
+		c->entry->cancel_lease = 0;
+	c->tries++;
+	if (retries_exhausted(c) || r->status == KV_REFUSED)
+		entry_call_reply_error(c, 503, RETRY_AFTER_S, "the store does not answer");
+	else if (r->status == KV_CONFLICT)
+		reroute(c);
+	else
+		cancel_job(c);
+}
+
+/*
+ * Stores the cancellation of a job that the store doesn't have, for a time: a submission
+ * without an answer may be carried out after this. Its value tells the organisation, as another
+ * one may use the same id.
+ */
+static void store_early_cancel(struct entry_call *c)
+{
+	struct kv_txn t = {.expect_len = 2, .write_len = 1};
+	AUTOFREE char *key = NULL;
+	AUTOFREE char *progress_key = NULL;
+	AUTOFREE char *caller = NULL;
+
+	xasprintf(&key, KEY_CANCEL "%s", c->id);
+	xasprintf(&progress_key, KEY_PROGRESS "%s", c->id);
+	xasprintf(&caller, "%s%s", CANCEL_BY, c->org != NULL ? c->org : "");
+	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, c->config_revision};
+	t.expect[1] = (struct kv_condition){progress_key, 0};
+	t.write[0] = (struct kv_write){key, caller, strlen(caller), c->entry->cancel_lease};
+	kv_commit(c->entry->p->kv, &t, on_early_cancel_stored, c);
+}
+
+static void on_cancel_lease_granted(const struct kv_result *r, void *arg)
+{
+	struct entry_call *c = arg;
+
+	if (r->status != KV_OK) {
+		entry_call_reply_error(c, 503, RETRY_AFTER_S, "the store does not answer");
+		return;
+	}
+	c->entry->cancel_lease = r->lease;
+	c->entry->cancel_lease_until = r->sent + r->ttl_ms * NSEC_PER_MSEC;
+	store_early_cancel(c);
+}
+
+/* Cancels a job that the store doesn't have, under a store lease that is left to expire. */
+static void begin_early_cancel(struct entry_call *c)
+{
+	struct wl_entry *e = c->entry;
+
+	if (e->cancel_lease != 0 &&
+		e->cancel_lease_until - loop_now(e->p->loop) >= EARLY_CANCEL_KEEP_MIN)
+		store_early_cancel(c);
+	else
+		kv_lease_grant(e->p->kv, EARLY_CANCEL_KEEP_MS, on_cancel_lease_granted, c);
+}
+
+/* Stores the request to cancel, unless the job is another's or has ended. */
 static void on_cancel_state_read(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
@@ -322,6 +398,10 @@
 			cancel_job(c);
 		return;
 	}
+	if (r->status == KV_NOT_FOUND) {
+		begin_early_cancel(c);
+		return;
+	}
 	if (!decode_visible_progress(c, r, &p)) {
 		event_log(EV_CANCEL, "job=%s status=410", c->id);
 		reply(c, 410, NULL);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -23,6 +23,8 @@
  * of their time says that there was none
  *   {"drop_answers":3}   the next 3 transactions that write a key are committed and answered
  *                        with 500; those that only remove keys are answered as usual
+ *   {"late_txns":2}      the next 2 transactions that write a key are answered with 500 and
+ *                        carried out later, if their conditions hold then
  *   {"config":{...}}     a new configuration
  *   {"config_after_drop":{...}} the same, right after the next dropped answer
  *   {"crash":"WORKER"}   the worker loses its state and starts again under its id; what
@@ -59,6 +61,7 @@
 #define STOP_DURATION_MS      100  /* from a stop call until the run ends */
 #define OLD_REPORT_DELAY_MS   60   /* of a report of old_reports after a heartbeat */
 #define START_DELAY_MS	      2500 /* of the starts that late_orders delays */
+#define TXN_DELAY_MS	      2500 /* of the transactions that late_txns delays */
 #define TICK		      (20 * NSEC_PER_MSEC)
 #define HEARTBEAT_PERIOD      (300 * NSEC_PER_MSEC)
 #define LEASE_MAX_MS	      6000
@@ -100,6 +103,11 @@
 	json_t *start;
 	int64_t due_ms;
 };
+/* A transaction that was answered with 500 and is carried out later. */
+struct delayed_txn {
+	json_t *txn;
+	int64_t due_ms;
+};
 struct worker {
 	char *name;
 	char *app;
@@ -145,6 +153,8 @@
 static bool deaf_watches;
 static bool second_addr_down;
 static json_int_t txn_answers_to_drop;
+static json_int_t txns_to_delay;
+static GPtrArray *delayed_txns;
 static json_t *config_after_drop;
 static bool busy;
 static json_int_t starts_to_delay;
@@ -318,13 +328,12 @@
 	answer_pending_requests();
 }
 
-/* kv-txn: writes and removes keys if all conditions hold. */
-static void handle_txn(struct http_request *r, const json_t *in)
+/* Carries out a transaction if its conditions hold; seen gets the state of their keys. */
+static bool txn_execute(const json_t *in, json_t *seen)
 {
 	const json_t *expect = json_object_get(in, "expect");
 	const json_t *write = json_object_get(in, "write");
 	const json_t *removed = json_object_get(in, "remove");
-	json_t *seen = json_array();
 	bool holds = true;
 
 	for (size_t i = 0; i < json_array_size(expect); i++) {
@@ -338,11 +347,8 @@
 			seen, it != NULL ? item_json(it)
 					 : json_pack("{s:s,s:i}", "key", key, "revision", 0));
 	}
-	if (!holds) {
-		reply(r, 412, json_pack("{s:o}", "items", seen));
-		return;
-	}
-	json_decref(seen);
+	if (!holds)
+		return false;
 	if (json_array_size(write) + json_array_size(removed) > 0)
 		revision++;
 	for (size_t i = 0; i < json_array_size(write); i++) {
@@ -354,6 +360,54 @@
 	}
 	for (size_t i = 0; i < json_array_size(removed); i++)
 		item_set(json_string_value(json_array_get(removed, i)), NULL, 0);
+	return true;
+}
+
+/* Answers a transaction without carrying it out, which run_delayed_txns does later. */
+static void delay_txn(struct http_request *r, const json_t *in)
+{
+	struct delayed_txn *d = xcalloc(1, sizeof(*d));
+
+	txns_to_delay--;
+	d->txn = json_deep_copy(in);
+	d->due_ms = now_ms() + TXN_DELAY_MS;
+	g_ptr_array_add(delayed_txns, d);
+	http_reply(r, 500, NULL, "", 0);
+}
+
+/* Carries out the delayed transactions that are due. */
+static void run_delayed_txns(void)
+{
+	for (guint i = delayed_txns->len; i > 0; i--) {
+		struct delayed_txn *d = delayed_txns->pdata[i - 1];
+		json_t *seen = json_array();
+
+		if (now_ms() >= d->due_ms) {
+			txn_execute(d->txn, seen);
+			json_decref(d->txn);
+			free(d);
+			g_ptr_array_remove_index(delayed_txns, i - 1);
+		}
+		json_decref(seen);
+	}
+}
+
+/* kv-txn: writes and removes keys if all conditions hold. */
+static void handle_txn(struct http_request *r, const json_t *in)
+{
+	const json_t *write = json_object_get(in, "write");
+	json_t *seen;
+
+	if (txns_to_delay > 0 && json_array_size(write) > 0) {
+		delay_txn(r, in);
+		return;
+	}
+	seen = json_array();
+	if (!txn_execute(in, seen)) {
+		reply(r, 412, json_pack("{s:o}", "items", seen));
+		return;
+	}
+	json_decref(seen);
 	if (txn_answers_to_drop > 0 && json_array_size(write) > 0) {
 		/* Committed, but the caller cannot tell from the answer. */
 		txn_answers_to_drop--;
@@ -550,6 +604,8 @@
 		set_config(json_object_get(in, "config"));
 	if (json_object_get(in, "config_after_drop") != NULL)
 		config_after_drop = json_deep_copy(json_object_get(in, "config_after_drop"));
+	if (json_object_get(in, "late_txns") != NULL)
+		txns_to_delay = json_integer_value(json_object_get(in, "late_txns"));
 	if (json_object_get(in, "busy") != NULL)
 		busy = json_is_true(json_object_get(in, "busy"));
 	if (json_object_get(in, "late_orders") != NULL)
@@ -924,6 +980,7 @@
 {
 	(void)arg;
 	run_delayed_starts();
+	run_delayed_txns();
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = workers->pdata[i];
 
@@ -1015,6 +1072,7 @@
 	history = g_ptr_array_new();
 	pending_requests = g_ptr_array_new();
 	delayed_starts = g_ptr_array_new();
+	delayed_txns = g_ptr_array_new();
 	started_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	acked_done_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	violations = json_array();
