agent: leases of its earlier process hold until they have run out

A task could run twice (TWICE): an agent ended without notice and started again, and its worker, which had a lease from the process before, sent one heartbeat and then fell silent. The new process knew of no lease, so it gave the worker up after 4 s of silence, and the task was started elsewhere under a lease of up to 6 s.

The agent now takes the worker as leased from its own start, for as long as a lease can last.

Evidence: regress/platform/run-silent-worker failed 2 of 2 before ("already running on a worker") and passed 3 of 3 after.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -496,6 +496,9 @@
 	w->p = p;
 	w->events = *ev;
 	w->pending_starts = g_ptr_array_new();
+	/* An earlier process of this agent may have granted leases until now. */
+	w->lease_end_at = worker_now(w) + p->settings.lease_max +
+			  p->settings.lease_max / SLOW_CLOCK_DIVISOR + RUN_LEASE_MARGIN;
 	w->server =
 		http_server_new(p->settings.worker_control_addr, &limits, on_heartbeat, w, err);
 	if (w->server != NULL)
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -31,6 +31,8 @@
  *                        late_orders delays is carried out by the new life
  *   {"born_ms":-5000}    moves the start times that workers report from their next start on
  *   {"resize":"WORKER", "accelerators":4}  the worker has another capacity from now on
+ *   {"frozen":"WORKER"}  the worker goes on with its runs, answers no call and sends no
+ *                        heartbeats, until "frozen" names another or none
  *   {"quiet":"WORKER"}   the worker sends no heartbeats, until "quiet" names another or none
  *   {"old_reports":"WORKER"} each heartbeat of the worker is followed by an overtaken one and
  *                        one of its previous life, both with all accelerators, until this
@@ -132,6 +134,7 @@
 	unsigned int started;
 	bool mute;
 	bool gone;
+	bool frozen;
 	bool quiet;
 	bool old_reports;
 	int64_t old_report_ms; /* when the next of old_reports is due; 0 for none */
@@ -589,6 +592,7 @@
 	const char *crash = json_string_value(json_object_get(in, "crash"));
 	const char *mute = json_string_value(json_object_get(in, "mute"));
 	const char *gone = json_string_value(json_object_get(in, "gone"));
+	const char *frozen = json_string_value(json_object_get(in, "frozen"));
 	const char *quiet = json_string_value(json_object_get(in, "quiet"));
 	const char *resize = json_string_value(json_object_get(in, "resize"));
 	const char *old_reports = json_string_value(json_object_get(in, "old_reports"));
@@ -635,6 +639,8 @@
 		if (resize != NULL && strcmp(resize, w->name) == 0)
 			w->accelerators =
 				json_integer_value(json_object_get(in, "accelerators"));
+		if (frozen != NULL)
+			w->frozen = strcmp(frozen, w->name) == 0;
 		if (mute != NULL)
 			w->mute = strcmp(mute, w->name) == 0;
 		if ((crash != NULL && strcmp(crash, w->name) == 0) ||
@@ -894,7 +900,9 @@
 	const char *path = http_path(q);
 
 	free(arg);
-	if (w->gone || now_ms() < w->down_until_ms) {
+	if (w->frozen) {
+		/* The call is never answered. */
+	} else if (w->gone || now_ms() < w->down_until_ms) {
 		http_reply(q, 500, NULL, "", 0);
 	} else if (fence < w->fence) {
 		worker_reply(w, q, 409,
@@ -1001,7 +1009,7 @@
 			else if (r->remaining_ms <= 0)
 				run_end(w, r, "done");
 		}
-		if (!w->gone && !w->quiet &&
+		if (!w->gone && !w->frozen && !w->quiet &&
 			now_ms() >= MAX(w->next_heartbeat_ms, w->down_until_ms)) {
 			w->next_heartbeat_ms = now_ms() + HEARTBEAT_PERIOD / NSEC_PER_MSEC;
 			send_heartbeat(
