agent: pause between renewals while ends may not be acknowledged

The pause compared the ends with what is stored, not with what will be acknowledged.

The pause now follows from what the next renewal acknowledges, and from the ends of this answer.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -263,6 +263,25 @@
 		w->ends_listed = MAX(w->ends_listed, r->ends[r->ends_len - 1].number);
 }
 
+/*
+ * The number up to which the worker may forget ended runs. A new instance with the same id that
+ * is not known here yet numbers its ends from 1 again. So none are acknowledged while a start
+ * without an answer may have reached such an instance, or after a renewal without an answer.
+ */
+static uint64_t ends_to_acknowledge(const struct wl_worker *w)
+{
+	return w->pending_starts->len > 0 || !w->renewal_answered ? 0 : w->ends_stored;
+}
+
+/*
+ * Whether an answer lists ends that the next renewal will not acknowledge: the worker would
+ * answer that one at once, with the same ends.
+ */
+static bool lists_unstored_ends(const struct wl_worker *w, const struct pf_reply *r)
+{
+	return r->ends_len > 0 && r->ends[r->ends_len - 1].number > ends_to_acknowledge(w);
+}
+
 static void renewal_done(struct http_call *c, void *arg)
 {
 	struct worker_call *wc = arg;
@@ -287,11 +306,8 @@
 			r.kind == PF_REPLY_OK && wc->instance_count == w->instance_count;
 		if (r.kind == PF_REPLY_OK)
 			process_lists(w, wc, &r);
-		/*
-		 * The worker doesn't wait while it has ends to list that are not acknowledged,
-		 * so the coordinator gets some time to store them.
-		 */
-		if (r.kind == PF_REPLY_OK && w->ends_listed > w->ends_stored)
+		/* Gives the coordinator some time to store the ends. */
+		if (r.kind == PF_REPLY_OK && lists_unstored_ends(w, &r))
 			schedule_renewal(w, ENDS_STORE_DELAY);
 		else if (r.kind == PF_REPLY_OK && (has_own_heartbeat(w) || w->clock_at == 0))
 			renew_and_list(w);
@@ -303,16 +319,6 @@
 	free(wc);
 }
 
-/*
- * The number up to which the worker may forget ended runs. A new instance with the same id that
- * is not known here yet numbers its ends from 1 again. So none are acknowledged while a start
- * without an answer may have reached such an instance, or after a renewal without an answer.
- */
-static uint64_t ends_to_acknowledge(const struct wl_worker *w)
-{
-	return w->pending_starts->len > 0 || !w->renewal_answered ? 0 : w->ends_stored;
-}
-
 /*
  * Sends the renewal, as long as there is a coordinator and the worker has not left. Without
  * authority or the worker's clock the deadline is 0: the call then only requests the lists.
@@ -352,7 +358,7 @@
 	if (s->term == w->term && w->instance != NULL &&
 		g_strcmp0(s->worker_instance, w->instance) == 0)
 		w->ends_stored = MAX(w->ends_stored, s->number);
-	if (w->renewal_timer != NULL && w->ends_listed <= w->ends_stored) {
+	if (w->renewal_timer != NULL && w->ends_listed <= ends_to_acknowledge(w)) {
 		loop_timer_del(w->p->loop, w->renewal_timer);
 		w->renewal_timer = NULL;
 		renew_and_list(w);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -43,6 +43,8 @@
  * with 500 without carrying them out, until "gone" names another or none
  *   {"late_orders":2}    the next 2 starts are answered with 500 and carried out later
  *   {"busy":true}        all workers answer starts with 503 and don't carry them out
+ *   {"late_ms":8000}     how much later late_orders carries them out
+ *   {"refuse_stops":true} the workers answer stops with 503
  *   {"lost_starts":1}    the next start is carried out and never answered
  *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
  *                        with "refuse_status" (503) and "refuse_reason", and not carried out
@@ -51,9 +53,9 @@
  * a page that holds only such items
  *   {"odd_rows":true}    the workers' lists have a row each that can't be read
  *
- * The answer to POST /control has the number of calls to the store ("calls") and of starts on
- * each worker ("started"), the jobs that had a task started ("begun"), and every violation of
- * what the scheduler guarantees ("wrong").
+ * The answer to POST /control has the number of calls to the store ("calls"), of lease renewals
+ * ("renewals") and of starts on each worker ("started"), the jobs that had a task started
+ * ("begun"), and every violation of what the scheduler guarantees ("wrong").
  */
 
 #define ACCELERATORS	      8	   /* of each worker */
@@ -62,7 +64,7 @@
 #define CRASH_DOWN_MS	      1500 /* until the worker is back */
 #define STOP_DURATION_MS      100  /* from a stop call until the run ends */
 #define OLD_REPORT_DELAY_MS   60   /* of a report of old_reports after a heartbeat */
-#define START_DELAY_MS	      2500 /* of the starts that late_orders delays */
+#define START_DELAY_MS	      2500 /* of the starts that late_orders delays, by default */
 #define TXN_DELAY_MS	      2500 /* of the transactions that late_txns delays */
 #define TICK		      (20 * NSEC_PER_MSEC)
 #define HEARTBEAT_PERIOD      (300 * NSEC_PER_MSEC)
@@ -162,6 +164,9 @@
 static bool busy;
 static json_int_t starts_to_delay;
 static json_int_t start_answers_to_drop;
+static int64_t start_delay_ms = START_DELAY_MS;
+static bool refuse_stops;
+static unsigned int renewals;
 static json_int_t starts_to_refuse;
 static int refuse_status;
 static char *refuse_reason;
@@ -626,6 +631,10 @@
 		renewal_answers_to_drop = json_integer_value(json_object_get(in, "lost_holds"));
 	if (json_object_get(in, "lost_starts") != NULL)
 		start_answers_to_drop = json_integer_value(json_object_get(in, "lost_starts"));
+	if (json_object_get(in, "late_ms") != NULL)
+		start_delay_ms = json_integer_value(json_object_get(in, "late_ms"));
+	if (json_object_get(in, "refuse_stops") != NULL)
+		refuse_stops = json_is_true(json_object_get(in, "refuse_stops"));
 	set_refusals(in);
 	if (json_object_get(in, "born_ms") != NULL)
 		born_offset_ms = json_integer_value(json_object_get(in, "born_ms"));
@@ -651,8 +660,9 @@
 		json_object_set_new(started, w->name, json_integer(w->started));
 	}
 	reply(r, 200,
-		json_pack("{s:i,s:o,s:o,s:O}", "calls", (int)calls, "started", started, "begun",
-			started_jobs_json(), "wrong", violations));
+		json_pack("{s:i,s:i,s:o,s:o,s:O}", "renewals", (int)renewals, "calls",
+			(int)calls, "started", started, "begun", started_jobs_json(), "wrong",
+			violations));
 }
 
 /* Handles a call to the store, on the loop. */
@@ -847,7 +857,7 @@
 		starts_to_delay--;
 		d->worker = w;
 		d->start = json_deep_copy(in);
-		d->due_ms = now_ms() + START_DELAY_MS;
+		d->due_ms = now_ms() + start_delay_ms;
 		g_ptr_array_add(delayed_starts, d);
 		http_reply(q, 500, NULL, "", 0);
 		return;
@@ -910,6 +920,8 @@
 				(json_int_t)now_ms()));
 	} else if (strcmp(path, "/v1/run-start") == 0) {
 		worker_start(w, q, in);
+	} else if (strcmp(path, "/v1/run-stop") == 0 && refuse_stops) {
+		worker_reply(w, q, 503, json_pack("{s:I}", "clock_ms", (json_int_t)now_ms()));
 	} else if (strcmp(path, "/v1/run-stop") == 0) {
 		const char *task = json_string_value(json_object_get(in, "task"));
 
@@ -926,6 +938,7 @@
 		struct pending_request *h = xcalloc(1, sizeof(*h));
 		json_int_t seen = json_integer_value(json_object_get(in, "last_seen"));
 
+		renewals++;
 		record_acked_ends(w, seen);
 		while (json_array_size(w->finished) > 0 &&
 			json_integer_value(json_array_get(json_array_get(w->finished, 0), 0)) <=
