agent: a start can't run any more once its deadline has passed

Each start carries a deadline on the worker's clock, after which the worker refuses it as late. Lists with a later clock that don't show the run now settle the start as well; that bounds the wait by the longest lease.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -139,6 +139,9 @@
 		} else if (s->voided_at > 0) {
 			if (requested_at > s->voided_at)
 				resolve_start(w, s, s->refusal);
+		} else if (s->deadline_ms > 0 && r->clock_ms > s->deadline_ms) {
+			/* Whatever arrives now is refused as late. */
+			resolve_start(w, s, s->refusal);
 		} else if (is_void_due(s, worker_now(w), requested_at)) {
 			s->call_pending = true;
 			worker_send_call(w,
@@ -201,6 +204,7 @@
 	counter_add(&starts_total, 1);
 	s->call_pending = true;
 	s->sends_used++;
+	s->deadline_ms = MAX(s->deadline_ms, deadline);
 	s->last_try_at = worker_now(w);
 	worker_send_call(w,
 		pf_worker_start(w->p->settings.worker_addr, w->heartbeat.id, worker_fence(w),
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -29,6 +29,8 @@
 	 */
 	int64_t last_try_at;
 	bool unanswered; /* a send has had no answer */
+	/* The latest deadline that a send carried, on the worker's clock; 0 if not known. */
+	int64_t deadline_ms;
 	/* Reported once the start is known not to have run. */
 	enum wl_answer refusal;
 	/* When a send was refused after another had no answer; 0 for never. */
