workload: run-doubled tells an end from a run, worker-overbooked all resources

Ends are now marked (ended=1) and not counted, those of runs that lapsed are not logged. worker-overbooked named accelerators alone, and the capacity before on every report; it tells what is free of each resource, and whether the capacity has shrunk.

--- a/packages/base/event-table.h
+++ b/packages/base/event-table.h
@@ -61,10 +61,11 @@
 	"a worker did not answer a start")
 EVENT(EV_START_REFUSED, "start-refused", "task attempt sends answer",
 	"a worker refused a start that an earlier send may have started")
-EVENT(EV_RUN_DOUBLED, "run-doubled", "task attempt node current_attempt current_node released",
-	"a task runs on two workers; the first run was given up for the reason released")
+EVENT(EV_RUN_DOUBLED, "run-doubled",
+	"task attempt node ended current_attempt current_node released",
+	"a worker lists a run, or its end, while its task runs on another")
 EVENT(EV_WORKER_OVERBOOKED, "worker-overbooked",
-	"node life orphans accelerators free accelerators_before",
+	"node life orphans free_accelerators free_cores_m free_memory_mb shrunk",
 	"the runs of a worker need more than its capacity")
 EVENT(EV_TASK_END, "task-end", "task attempt node how saved", "a run has ended")
 EVENT(EV_TASK_STOP, "task-stop", "task attempt node why for", "a run is stopped")
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -278,11 +278,14 @@
 }
 
 /*
- * Logs a run on a node, or the end of one, while its task has a run on another node, and why
- * the run on this one was given up. A run that is known as an orphan has been logged.
+ * Logs a run on a node while its task has a run on another node, and why the run on this one
+ * was given up. A run that is known as an orphan has been logged.
+ *
+ * The end of such a run is logged as well, but not counted: it may have ended before the other
+ * one began. One that lapsed did, as the task runs elsewhere only after its lease.
  */
 static void check_doubled(struct wl_node *n, const struct wl_task *t, const char *task,
-	uint32_t attempt, const GPtrArray *orphans)
+	uint32_t attempt, const GPtrArray *orphans, bool ended)
 {
 	bool known;
 
@@ -290,10 +293,11 @@
 		orphan_find(orphans, task, attempt) != NULL)
 		return;
 	known = t->released_why != NULL && t->released_attempt == attempt;
-	counter_add(&runs_doubled, 1);
+	counter_add(&runs_doubled, !ended);
 	event_log(EV_RUN_DOUBLED,
-		"task=%s attempt=%u node=%s current_attempt=%u current_node=%s released=\"%s\"",
-		task, attempt, n->name, t->attempt, t->node->name,
+		"task=%s attempt=%u node=%s ended=%d current_attempt=%u current_node=%s "
+		"released=\"%s\"",
+		task, attempt, n->name, ended, t->attempt, t->node->name,
 		known ? t->released_why : "unknown");
 }
 
@@ -311,7 +315,9 @@
 		if (pending.number <= n->last_end_processed)
 			continue;
 		t = job_task(n->wl, r->ends[i].task, now);
-		check_doubled(n, t, r->ends[i].task, r->ends[i].attempt, n->orphans);
+		if (r->ends[i].how != WL_END_LAPSED)
+			check_doubled(
+				n, t, r->ends[i].task, r->ends[i].attempt, n->orphans, true);
 		wl_run_ended(n->wl, n, now, wall, &r->ends[i]);
 		n->last_end_processed = pending.number;
 		t = job_task(n->wl, r->ends[i].task, now);
@@ -356,7 +362,7 @@
 	known = orphan_find(previous, orphan->task, orphan->attempt);
 	if (known != NULL)
 		orphan->stop_sent = known->stop_sent;
-	check_doubled(n, t, orphan->task, orphan->attempt, previous);
+	check_doubled(n, t, orphan->task, orphan->attempt, previous, false);
 	g_ptr_array_add(n->orphans, orphan);
 	if (orphan->stop_sent != 0 && now - orphan->stop_sent < ORPHAN_STOP_INTERVAL)
 		return;
@@ -473,10 +479,13 @@
 		return;
 	counter_add(&workers_overbooked, 1);
 	event_log(EV_WORKER_OVERBOOKED,
-		"node=%s life=%s orphans=%u accelerators=%u free=%" PRId64
-		" accelerators_before=%u cores_m_before=%u cores_m=%u",
-		n->name, n->instance_id, n->orphans->len, n->capacity.accelerators,
-		left.accelerators, before->accelerators, before->cores_m, n->capacity.cores_m);
+		"node=%s life=%s orphans=%u free_accelerators=%" PRId64 " free_cores_m=%" PRId64
+		" free_memory_mb=%" PRId64 " shrunk=%d",
+		n->name, n->instance_id, n->orphans->len, left.accelerators, left.cores_m,
+		left.memory_mb,
+		n->capacity.accelerators < before->accelerators ||
+			n->capacity.cores_m < before->cores_m ||
+			n->capacity.memory_mb < before->memory_mb);
 }
 
 /* Returns the task that was placed last on a worker and whose start has not been sent. */
