agent: clearer state of a start without an answer

A stop that was ordered has a flag of its own now. Behaviour changes in one point: a start that was never unanswered and is refused as a stale attempt after a second send does not occur, so it is not told apart any more. regress/platform run-refused-start, run-refused-stops and run-silent-worker pass.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -6,8 +6,8 @@
 
 /*
  * Orders to the worker of this VM. An order without an answer may have been carried out, or may
- * be later, so it is sent again. A start that stays without an answer, or of which one send
- * does, is voided by a stop (see pending_start.voided_at) before its task may run elsewhere.
+ * be later, so it is sent again. A start with a send that got no answer, whatever the others
+ * got, is voided by a stop (see pending_start.voided_at) before its task may run elsewhere.
  */
 
 COUNTER(starts_total, "damaskpath_starts_total", "Starts sent to the worker.");
@@ -105,17 +105,14 @@
 		s->voided_at = worker_now(w);
 	else
 		s->last_try_at = worker_now(w);
-	s->refused_at = 0;
+	s->void_lists_after = 0;
 	order_call_free(c, &r);
 }
 
-/*
- * Whether a start of unknown outcome that the worker's lists don't show is to be voided:
- * nothing answers it, or lists requested after its refusal don't show it either.
- */
+/* Whether a start of unknown outcome that is not in these lists is to be voided. */
 static bool is_void_due(const struct pending_start *s, int64_t now, int64_t requested_at)
 {
-	if (s->refused_at > 0 && requested_at > s->refused_at)
+	if (s->void_lists_after > 0 && requested_at > s->void_lists_after)
 		return true;
 	return now - s->last_try_at > UNLISTED_START_WAIT;
 }
@@ -216,11 +213,11 @@
 static void handle_unanswered_start(struct wl_worker *w, struct pending_start *s)
 {
 	int64_t deadline = worker_lease_deadline(w);
-	bool again = s->sends_used < ORDER_SENDS_MAX && deadline != 0 && s->term == w->term;
+	bool again = s->sends_used < ORDER_SENDS_MAX && !s->stop_ordered && deadline != 0 &&
+		     s->term == w->term;
 
 	s->unanswered = true;
 	counter_add(&starts_unanswered, 1);
-	/* After an order to stop the run, sends= may be too high: see sends_used. */
 	event_log(EV_START_UNSURE, "task=%s attempt=%u sends=%u again=%d", s->task, s->attempt,
 		s->sends_used, again);
 	if (again)
@@ -233,25 +230,24 @@
  * Handles a refusal. It answers one send: an earlier one that had no answer may have been
  * carried out, or may be later, so the start's outcome is left to the worker's lists.
  *
- * A start that is refused as a stale attempt can't run from now on, but may have run if it was
- * sent more than once. An order to stop the run has the same effect after a single send, as it
- * raises sends_used. The coordinator has to get the end of that run, with the worker's next
- * lists, before the start is reported as refused.
+ * So is that of a start that was refused as a stale attempt after an order to stop it: it may
+ * have run before the stop. The coordinator has to get the end of that run, with the next
+ * lists, before the start is reported as refused. A stale attempt can't start any more.
  */
 static void handle_refused_start(
 	struct wl_worker *w, struct pending_start *s, enum pf_reply_kind kind)
 {
 	s->refusal = start_answer(kind);
-	if (kind == PF_REPLY_STALE_ATTEMPT ? s->sends_used <= 1 : !s->unanswered) {
+	if (!s->unanswered && !(kind == PF_REPLY_STALE_ATTEMPT && s->stop_ordered)) {
 		resolve_start(w, s, s->refusal);
 		return;
 	}
 	event_log(EV_START_REFUSED, "task=%s attempt=%u sends=%u answer=%s", s->task,
 		s->attempt, s->sends_used, wl_answer_name(s->refusal));
 	s->outcome_unknown = true;
-	s->refused_at = worker_now(w);
+	s->void_lists_after = worker_now(w);
 	if (kind == PF_REPLY_STALE_ATTEMPT)
-		s->voided_at = s->refused_at;
+		s->voided_at = s->void_lists_after;
 }
 
 static void start_done(struct http_call *c, void *arg)
@@ -410,7 +406,7 @@
 		struct pending_start *start = w->pending_starts->pdata[i];
 
 		if (start->attempt == o->attempt && strcmp(start->task, o->task) == 0)
-			start->sends_used = ORDER_SENDS_MAX;
+			start->stop_ordered = true;
 	}
 	s = xcalloc(1, sizeof(*s));
 	s->task = xstrdup(o->task);
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -17,11 +17,8 @@
 	char *payload;
 	char *checkpoint;
 	char *ticket; /* from the approval service; the worker checks it */
-	/*
-	 * Counts the sends against ORDER_SENDS_MAX. An order to stop the run sets it to that
-	 * limit, so that the start isn't sent again; it is then no longer the number of sends.
-	 */
 	unsigned int sends_used;
+	bool stop_ordered; /* it must not be sent again */
 	/*
 	 * When the start was last sent. Set again when a stop that was to void it has failed.
 	 * For a start that this process never sent: when this process sent the stop that is to
@@ -33,8 +30,11 @@
 	int64_t deadline_ms;
 	/* Reported once the start is known not to have run. */
 	enum wl_answer refusal;
-	/* When a send was refused after another had no answer; 0 for never. */
-	int64_t refused_at;
+	/*
+	 * The first lists requested after this time decide whether a refused start is voided.
+	 * 0: lists that come UNLISTED_START_WAIT after the last try do.
+	 */
+	int64_t void_lists_after;
 	bool outcome_unknown; /* to be found out from the worker's lists */
 	bool call_pending;
 	/*
