workload: partial lists keep the room of runs that no task has

Found by the review of the merged code: lists with a row that can't be read told nothing of runs that are missing, but the runs that no task has were replaced by what the lists show. Their room was given away while they ran (LIMIT), and the stop that had been sent was forgotten. They stay now until complete lists don't show them.

Evidence: unit test "partial lists keep the room of unknown runs": one start instead of none on the code before, passes now.

--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -429,6 +429,13 @@
 			task_stop(t, now, "the worker still reports the run", NULL);
 	}
 	n->no_progress = idle > 0 && moving == 0;
+	/* What a partial list doesn't show may still be running. */
+	for (guint i = r->partial ? previous->len : 0; i > 0; i--) {
+		const struct wl_orphan *o = previous->pdata[i - 1];
+
+		if (orphan_find(n->orphans, o->task, o->attempt) == NULL)
+			g_ptr_array_add(n->orphans, g_ptr_array_steal_index(previous, i - 1));
+	}
 }
 
 /*
--- a/tests/unit/test-workers.c
+++ b/tests/unit/test-workers.c
@@ -570,8 +570,47 @@
 	}
 }
 
+/*
+ * LIMIT: a worker runs something that no task has, and its next lists have a row that can't be
+ * read. The room of that run is not given away.
+ */
+static void test_partial_lists_keep_orphans(void)
+{
+	struct fixture f;
+	struct wl_run run = {.task = (char *)"00000000000000ff.0.0.0", .attempt = 1};
+	struct wl_report r = {.node = (char *)"w1",
+		.worker_instance = (char *)"w1@1",
+		.service = (char *)"s",
+		.rack = (char *)"r1",
+		.cores_m = 32000,
+		.memory_mb = 64000,
+		.accelerators = 8,
+		.runs = &run,
+		.runs_len = 1};
+
+	fixture_init(&f);
+	wl_node_report(f.wl, f.now, f.now, &r);
+	submit_job(&f, 1, "batch", 1, 8, 10000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 0);
+	r.runs_len = 0;
+	r.partial = true;
+	f.now += 100 * MS;
+	wl_node_report(f.wl, f.now, f.now, &r);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 0);
+	r.partial = false;
+	f.now += 100 * MS;
+	wl_node_report(f.wl, f.now, f.now, &r);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 1);
+	fixture_clear(&f);
+}
+
 void unit_workers(CU_pSuite s)
 {
+	CU_add_test(s, "partial lists keep the room of unknown runs",
+		test_partial_lists_keep_orphans);
 	CU_add_test(s, "worker's lists: rows that no JSON reader takes leave the others",
 		test_unreadable_rows);
 	CU_add_test(s, "worker's lists: a run that partial ones don't show may go on",
