workload: a crash after a start without an answer is no proof against the task

Found by the review of the merged code: a job could be shown as failed after one crash under it (LOST). Of two crashes only the last had to be certain. The first could be a start that was sent to a worker that was down already; the task then started alone elsewhere, and that worker crashed for a reason of its own. A crash counted as certain also after lists had shown the run, while tasks that crash their workers do so within some 10 ms of their start.

A crash whose start was not answered, or whose run a list has shown, makes the sum uncertain, and then the third crash is needed. The mark is stored; older records are read as certain.

Evidence: unit test "start on a dead worker: no proof against the task" fails before (job not open) and passes now. The unit tests still hold the exact numbers.

--- a/packages/workload/wl-crash.c
+++ b/packages/workload/wl-crash.c
@@ -79,6 +79,7 @@
 	if (t->crashes.count == 0)
 		return;
 	t->crashes.count = 0;
+	t->crashes.uncertain = false;
 	t->crashes.node = NULL;
 	t->unit->crashed_tasks--;
 	job_request_store(t->unit->job, WL_STORE_SOON);
@@ -157,14 +158,14 @@
 }
 
 /*
- * Whether the crashes are enough to give a task up. Two are, if the last one was on another
- * worker than the first, and certainly by this task: not one of many crashes, and the worker
- * had answered its start, so it was not down already.
+ * Whether the crashes are enough to give a task up. Two are, if they were on different workers
+ * and certainly by this task: the last not one of many crashes, and each right after its start
+ * was answered, before any list showed the run.
  */
 static bool crash_limit_reached(
 	const struct wl_crashes *c, const struct wl_task *t, bool certain)
 {
-	certain &= t->running_at > 0 && c->node != t->node;
+	certain &= !c->uncertain && c->node != t->node;
 	return c->count >= CRASHES_MAX || (c->count >= CRASHES_CERTAIN_MAX && certain);
 }
 
@@ -183,6 +184,8 @@
 		return false;
 	if (c->count == 0)
 		u->crashed_tasks++;
+	/* The start may not have reached the worker, or the worker went on for a while. */
+	c->uncertain |= t->running_at == 0 || t->listed_ns != 0;
 	c->count++;
 	c->attempt = t->attempt;
 	limit_reached = crash_limit_reached(c, t, certain);
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -217,6 +217,7 @@
 	t->unit->crashed_tasks += (m->crashes > 0) - (t->crashes.count > 0);
 	t->crashes.count = m->crashes;
 	t->crashes.attempt = m->crashed_attempt;
+	t->crashes.uncertain = m->crash_uncertain;
 }
 
 /* Applies a stored mark to its unit or task; the occurrence must have been opened. */
@@ -373,6 +374,7 @@
 		m.failed_attempt = t->failed_attempt;
 		m.crashes = t->crashes.count;
 		m.crashed_attempt = t->crashes.attempt;
+		m.crash_uncertain = t->crashes.uncertain;
 		m.checkpoint = u->step->gang ? NULL : t->checkpoint;
 		m.node = task_node_name(t);
 		m.attempt = t->attempt;
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -70,6 +70,7 @@
 	U32(wl_mark, attempt),
 	U32(wl_mark, crashes),
 	U32(wl_mark, crashed_attempt),
+	BOOL(wl_mark, crash_uncertain),
 };
 static const struct field_table wl_mark_fields = TABLE(wl_mark);
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -55,6 +55,7 @@
 struct wl_crashes {
 	uint32_t count;	  /* since the last proven run */
 	uint32_t attempt; /* last attempt that was counted */
+	bool uncertain;	  /* one was perhaps not by its start: see count_crash */
 	const struct wl_node *node;
 };
 
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -109,6 +109,7 @@
 	/* Workers that crashed when it had just started, and the last attempt counted. */
 	uint32_t crashes;
 	uint32_t crashed_attempt;
+	bool crash_uncertain; /* one of them was perhaps not by the task */
 };
 
 /* Stored progress of a job. */
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -390,6 +390,31 @@
 	cluster_clear(&c);
 }
 
+/*
+ * LOST: a start is sent to a worker that is down already, and the worker that the task gets
+ * next crashes for a reason of its own. One crash under the task doesn't fail its job.
+ */
+static void test_start_on_dead_worker_is_no_proof(void)
+{
+	struct cluster c;
+	const char *node;
+
+	cluster_init(&c, 3, "");
+	cluster_run(&c, 2 * STEP);
+	submit_job(&c.f, 1, "batch", 1, 1, 100000, false);
+	crash_worker(&c, 0);
+	cluster_run(&c, STEP);
+	CU_ASSERT_STRING_EQUAL(c.f.last_node, "w1");
+	CU_ASSERT_EQUAL(c.runs->len, 0);
+	cluster_run(&c, DOWN_TIME + STEP);
+	node = running_on(&c, '1');
+	CU_ASSERT_STRING_NOT_EQUAL(node, "w1");
+	crash_worker(&c, worker_index(node));
+	cluster_run(&c, DOWN_TIME + 2 * SEC);
+	CU_ASSERT_TRUE(wl_job_is_open(c.f.wl, "0000000000000001"));
+	cluster_clear(&c);
+}
+
 /* BUDGET: the coordinator changes after each crash; the crashes are counted all the same. */
 static void test_crashes_survive_coordinator(void)
 {
@@ -444,6 +469,8 @@
 	CU_add_test(
 		s, "worker that crashes by itself: fails no job", test_bad_worker_fails_no_job);
 	CU_add_test(s, "VMs that lose power: no task is blamed", test_power_loss_is_not_blamed);
+	CU_add_test(s, "start on a dead worker: no proof against the task",
+		test_start_on_dead_worker_is_no_proof);
 	CU_add_test(
 		s, "crashes are counted across coordinators", test_crashes_survive_coordinator);
 }
