workload: the next coordinator gives up a job after three crashes

The decision is taken again from the stored count.

Evidence: unit test "third crash before a takeover: the next coordinator gives the job up" fails before (one start or more, job open) and passes now.

--- a/packages/workload/wl-crash.c
+++ b/packages/workload/wl-crash.c
@@ -211,6 +211,20 @@
 	g_array_append_val(t->unit->job->wl->pending_failures, c);
 }
 
+/*
+ * Restores the crashes of a task from its stored mark. The coordinator that counted the last
+ * one may have ended before it gave the job up.
+ */
+void crash_restore(struct wl_task *t, const struct wl_mark *m)
+{
+	t->unit->crashed_tasks += (m->crashes > 0) - (t->crashes.count > 0);
+	t->crashes.count = m->crashes;
+	t->crashes.attempt = m->crashed_attempt;
+	t->crashes.uncertain = m->crash_uncertain;
+	if (!m->done && m->crashes >= CRASHES_MAX)
+		fail_job_later(t, t->unit->job->added_at);
+}
+
 /* Gives up the jobs of tasks under which workers have crashed too often. */
 void crash_give_up_jobs(struct wl *w, int64_t now, int64_t wall)
 {
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -211,15 +211,6 @@
 	t->unit->waiting_count--;
 }
 
-/* Restores the crashes of a task from its stored mark. */
-static void apply_crashes(struct wl_task *t, const struct wl_mark *m)
-{
-	t->unit->crashed_tasks += (m->crashes > 0) - (t->crashes.count > 0);
-	t->crashes.count = m->crashes;
-	t->crashes.attempt = m->crashed_attempt;
-	t->crashes.uncertain = m->crash_uncertain;
-}
-
 /* Applies a stored mark to its unit or task; the occurrence must have been opened. */
 static void apply_mark(struct wl_job *j, const struct wl_mark *m)
 {
@@ -251,7 +242,7 @@
 		return;
 	u->tasks[m->index].failures = m->failures;
 	u->tasks[m->index].failed_attempt = m->failed_attempt;
-	apply_crashes(&u->tasks[m->index], m);
+	crash_restore(&u->tasks[m->index], m);
 	if (m->checkpoint != NULL)
 		g_strlcpy(u->tasks[m->index].checkpoint, m->checkpoint,
 			sizeof(u->tasks[m->index].checkpoint));
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -466,6 +466,7 @@
 void crash_task_detached(struct wl_task *t);
 void crash_record_listed(struct wl_task *t, uint64_t requested_ns);
 void crash_lose_worker(struct wl_node *n, int64_t now, const char *why, bool crashed);
+void crash_restore(struct wl_task *t, const struct wl_mark *m);
 void crash_give_up_jobs(struct wl *w, int64_t now, int64_t wall);
 GArray *pending_failures_new(void);
 bool crash_allows(
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -448,6 +448,30 @@
 	cluster_clear(&c);
 }
 
+/*
+ * BUDGET: the third worker has crashed under a task, and the coordinator changes before it has
+ * given the job up. The next one doesn't start the task again.
+ */
+static void test_job_is_given_up_by_next_coordinator(void)
+{
+	struct wl_mark mark = {.attempt = 3, .crashes = 3, .crashed_attempt = 3};
+	struct wl_step step = {.count = 1, .accelerators = 1, .estimate_ms = 9000};
+	struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = &step,
+		.steps_len = 1};
+	struct wl_progress before = {.state = WL_RUNNING, .marks = &mark, .marks_len = 1};
+	struct cluster c;
+
+	cluster_init(&c, 3, "1");
+	wl_job_add(c.f.wl, c.f.now, c.f.now, &spec, &before);
+	cluster_run(&c, 3 * SEC);
+	CU_ASSERT_EQUAL(count_starts(&c, '1'), 0);
+	CU_ASSERT_FALSE(wl_job_is_open(c.f.wl, spec.id));
+	cluster_clear(&c);
+}
+
 void unit_crash(CU_pSuite s)
 {
 	CU_add_test(s, "task that crashes workers: given up after the second",
@@ -473,4 +497,6 @@
 		test_start_on_dead_worker_is_no_proof);
 	CU_add_test(
 		s, "crashes are counted across coordinators", test_crashes_survive_coordinator);
+	CU_add_test(s, "third crash before a takeover: the next coordinator gives the job up",
+		test_job_is_given_up_by_next_coordinator);
 }
