workload: a worker that leaves and comes back is no crash

Found by the review of the merged code (LOST, by reading): a worker that had said that it leaves, and whose next life reported before its end was told, counted as crashed, against the runs that had just started on it.

Evidence: unit test "worker that leaves: no task is blamed" fails before (one crash stored) and passes.

--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -204,7 +204,7 @@
 /* Resets the state of a worker whose process has started again; its earlier runs are lost. */
 static void start_new_instance(struct wl_node *n, int64_t now, const char *worker_instance)
 {
-	if (n->instance_id != NULL && n->has_left)
+	if (n->instance_id != NULL && (n->has_left || n->draining))
 		node_drop_runs(n, now, "the worker has restarted");
 	else if (n->instance_id != NULL)
 		crash_lose_worker(n, now, "the worker has restarted", true);
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -22,7 +22,8 @@
 	guint handled;	/* starts of fixture.started that have been handled */
 	GArray *runs;	/* of struct started */
 	char deadly[8]; /* the last digit of the ids of jobs that crash their workers */
-	bool mute;	/* deadly starts crash the worker before it answers */
+	bool draining[WORKERS_MAX];
+	bool mute; /* deadly starts crash the worker before it answers */
 	unsigned int crashes;
 };
 
@@ -119,6 +120,8 @@
 		.cores_m = 32000,
 		.memory_mb = 64000,
 		.accelerators = 8,
+		.draining = c->draining[w],
+		.leaves_in_ms = 2000,
 		.covers = c->f.ordinal,
 		.sent_ns = (uint64_t)c->f.now};
 
@@ -415,6 +418,42 @@
 	cluster_clear(&c);
 }
 
+/* The crashes that are stored for the only task of job 1. */
+static uint32_t stored_crashes(struct cluster *c)
+{
+	struct wl_progress p = {0};
+	struct bytes stored;
+	uint64_t version;
+	uint32_t crashes = 0;
+
+	stored = wl_job_progress(c->f.wl, "0000000000000001", &version);
+	CU_ASSERT_TRUE(fields_decode(&wl_progress_fields, &p, stored.data, stored.len, NULL));
+	for (uint32_t i = 0; i < p.marks_len; i++)
+		crashes += p.marks[i].crashes;
+	fields_clear(&wl_progress_fields, &p);
+	bytes_clear(&stored);
+	return crashes;
+}
+
+/* LOST: a worker that has said that it leaves is gone, and another comes. No task is blamed. */
+static void test_leaving_worker_is_no_crash(void)
+{
+	struct cluster c;
+	unsigned int w;
+
+	cluster_init(&c, 2, "");
+	submit_job(&c.f, 1, "batch", 1, 1, 100000, false);
+	cluster_run(&c, STEP);
+	w = worker_index(running_on(&c, '1'));
+	c.draining[w] = true;
+	report(&c, w);
+	crash_worker(&c, w);
+	c.draining[w] = false;
+	cluster_run(&c, DOWN_TIME + 2 * STEP);
+	CU_ASSERT_EQUAL(stored_crashes(&c), 0);
+	cluster_clear(&c);
+}
+
 /* BUDGET: the coordinator changes after each crash; the crashes are counted all the same. */
 static void test_crashes_survive_coordinator(void)
 {
@@ -493,6 +532,8 @@
 	CU_add_test(
 		s, "worker that crashes by itself: fails no job", test_bad_worker_fails_no_job);
 	CU_add_test(s, "VMs that lose power: no task is blamed", test_power_loss_is_not_blamed);
+	CU_add_test(
+		s, "worker that leaves: no task is blamed", test_leaving_worker_is_no_crash);
 	CU_add_test(s, "start on a dead worker: no proof against the task",
 		test_start_on_dead_worker_is_no_proof);
 	CU_add_test(
