workload: a late claim of a guarantee is placed before what is preempted for it

Attempts of a task reached 984, each a write to the store, and the log dropped thousands of lines.

Cause: an urgent job that is too late to be of use was placed after all others, while runs are still preempted for it if it is within its guarantee. The preempted tasks, first in the order, got the room back in the next pass. Class: two decisions with different ideas of who comes first.

A unit within its guarantee now keeps its place in the order, however late it is.

Evidence: unit test "a late claim of a guarantee comes before other work" fails before (two starts, the batch task first) and passes.

--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -99,6 +99,15 @@
 	return longest;
 }
 
+/*
+ * Whether a unit is placed after all others. One within its guarantee is not, however late it
+ * is: runs are preempted for it, and what they free is for it and not for the preempted ones.
+ */
+static bool comes_last(const struct candidate *c)
+{
+	return c->lateness == UNIT_EXPIRED && !c->within_guarantee;
+}
+
 /*
  * Expired units come last. The others are ordered by priority, then first steps within the
  * guarantee of their organisation first, then units that can meet their objective, then by
@@ -111,8 +120,8 @@
 	const struct wl_job *ja = a->unit->job;
 	const struct wl_job *jb = b->unit->job;
 
-	if ((a->lateness == UNIT_EXPIRED) != (b->lateness == UNIT_EXPIRED))
-		return a->lateness == UNIT_EXPIRED ? 1 : -1;
+	if (comes_last(a) != comes_last(b))
+		return comes_last(a) ? 1 : -1;
 	if (ja->priority != jb->priority)
 		return ja->priority < jb->priority ? -1 : 1;
 	if (a->within_guarantee != b->within_guarantee)
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -148,6 +148,26 @@
 	fixture_clear(&f);
 }
 
+/*
+ * LOST, RECLAIM: an urgent job within its guarantee is far too late, and runs are preempted for
+ * it. A batch task must not get the room first, in each pass anew, only to be preempted.
+ */
+static void test_late_claim_comes_first(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	submit_job(&f, 1, "urgent", 1, 8, 1000, false);
+	f.now += 60 * SEC;
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 2, "batch", 1, 8, 9000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 1);
+	CU_ASSERT_STRING_EQUAL(f.last_start, "0000000000000001.0.0.0");
+	CU_ASSERT_EQUAL(f.stops, 0);
+	fixture_clear(&f);
+}
+
 /*
  * An urgent job needs a fully occupied worker. A run that is about to end is not preempted for
  * it; one that has far to go is.
@@ -934,6 +954,8 @@
 	CU_add_test(s, "changed settings are stored", test_changed_settings_stored);
 	CU_add_test(s, "headroom for urgent work", test_headroom);
 	CU_add_test(s, "a guarantee is reclaimed", test_reclaim);
+	CU_add_test(s, "a late claim of a guarantee comes before other work",
+		test_late_claim_comes_first);
 	CU_add_test(s, "an urgent job waits for a run that is about to end",
 		test_waits_for_ending_run);
 	CU_add_test(s, "resources are reserved for a large task", test_reserves_for_large_task);
