Names and comments that a newcomer would stop at

In wl-place.c "held" was a worker that crash_allows excludes, while a held worker elsewhere is one that is reserved for a task. The comment of a unit test promised a change of the coordinator that it does not make, and one in the HTTP client was vague. Behaviour and checks are unchanged: wl-place.o and http-client.o are the same without debug information, test-crash.o differs in its line numbers. Format, clang-tidy, units and properties pass.

--- a/packages/transport/http-client.c
+++ b/packages/transport/http-client.c
@@ -15,7 +15,7 @@
 	struct http_call *call;
 	CURL *easy;
 	GByteArray *response;
-	bool begun; /* the request has been sent, or at least begun */
+	bool begun; /* the request may have reached the server */
 	STAILQ_ENTRY(transfer) entry;
 };
 
--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -160,10 +160,11 @@
 
 /*
  * The workers of a rack, or of all if it is NULL, that fit a task; cheapest first. If others
- * would fit but for crash_allows, sets held to the one with the fewest runs to be proven.
+ * would fit but for crash_allows, sets excluded to the one with the fewest runs to be proven.
  */
 static GArray *list_options(struct wl *w, const struct wl_task *t, int64_t now,
-	enum placement_view view, const char *rack, const GArray *plan, struct wl_node **held)
+	enum placement_view view, const char *rack, const GArray *plan,
+	struct wl_node **excluded)
 {
 	struct wl_resources need = task_need(t->unit->step);
 	const GPtrArray *nodes = rack_nodes(w, rack);
@@ -179,9 +180,10 @@
 			!below_worker_limit(t->unit, n, plan))
 			continue;
 		if (!crash_allows(n, t, plan, now)) {
-			if (*held == NULL || node_is_isolated(*held, now) ||
-				(!node_is_isolated(n, now) && n->unproven < (*held)->unproven))
-				*held = n;
+			if (*excluded == NULL || node_is_isolated(*excluded, now) ||
+				(!node_is_isolated(n, now) &&
+					n->unproven < (*excluded)->unproven))
+				*excluded = n;
 			continue;
 		}
 		o.cost = compute_cost(n, r, t, &need, now);
@@ -216,7 +218,7 @@
 	g_autoptr(GArray) options = NULL;
 	const struct wl_node *avoided = NULL;
 	bool isolated = false;
-	struct wl_node *held = NULL;
+	struct wl_node *excluded = NULL;
 	uint32_t placed = 0;
 	uint32_t index = 0;
 	guint next = 0;
@@ -228,7 +230,7 @@
 		if (options == NULL || p.task->avoid_node != avoided || suspect || isolated) {
 			if (options != NULL)
 				g_array_unref(options);
-			options = list_options(w, p.task, now, view, rack, out, &held);
+			options = list_options(w, p.task, now, view, rack, out, &excluded);
 			avoided = p.task->avoid_node;
 			isolated = suspect;
 			next = 0;
@@ -240,8 +242,8 @@
 				break;
 			p.node = NULL;
 		}
-		if (p.node == NULL && held != NULL)
-			crash_hold(p.task, held, now);
+		if (p.node == NULL && excluded != NULL)
+			crash_hold(p.task, excluded, now);
 		if (p.node == NULL)
 			break;
 		resources_deduct(available_on(p.node, view), &need);
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -454,7 +454,10 @@
 	cluster_clear(&c);
 }
 
-/* BUDGET: the coordinator changes after each crash; the crashes are counted all the same. */
+/*
+ * BUDGET: a task's record tells of a crash under an earlier coordinator. The record keeps it,
+ * and the next crash fails the job.
+ */
 static void test_crashes_survive_coordinator(void)
 {
 	struct wl_mark mark = {
