agent: ends that a worker hasn't listed yet are no lost runs

Callers saw tasks run again after they were done (TWICE). A worker lists at most 500 ended runs in one answer and the others once these are acknowledged. A run that had ended and was in neither list was taken as lost, and its task was started again at once; its end, done, was listed a moment later. 500 ends come together where many small tasks share a worker, or where ends could not be stored for a while.

A full list of ends now marks the lists as partial, from which nothing is concluded about what they lack. While ends are left, those that are stored are acknowledged also beside a start without an answer: its outcome may be among the ends that aren't listed, and neither would ever be known. What that rule guards against, a new life under the same id whose ends are forgotten unseen, needs such a start and 500 unstored ends of the life before.

The stand-in lists at most 500 ends now, as the users' workers do.

--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -79,6 +79,7 @@
 	/* The worker numbers the runs that have ended. */
 	uint64_t ends_stored; /* the coordinator has stored those up to this number */
 	uint64_t ends_listed; /* the worker has listed those up to this number */
+	bool ends_left;	      /* it may have more ends than its last answer has listed */
 	GPtrArray *pending_starts;
 	/*
 	 * The renewal: a single call that renews the leases, if they may be, and requests the
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -144,6 +144,7 @@
 	w->unanswered = 0;
 	w->ends_stored = 0;
 	w->ends_listed = 0;
+	w->ends_left = false;
 	while (w->pending_starts->len > 0)
 		worker_drop_start(w, w->pending_starts->pdata[0]);
 }
@@ -257,6 +258,7 @@
 	 * start is reported as refused below. The coordinator must know by then that the run
 	 * has ended.
 	 */
+	w->ends_left = r->has_more_ends;
 	report_runs(w, r);
 	worker_resolve_unknown_starts(w, r, w->renewal_sent_at);
 	if (r->ends_len > 0)
@@ -267,10 +269,15 @@
  * The number up to which the worker may forget ended runs. A new instance with the same id that
  * is not known here yet numbers its ends from 1 again. So none are acknowledged while a start
  * without an answer may have reached such an instance, or after a renewal without an answer.
+ *
+ * Starts don't count while the worker has more ends than it lists: what became of them may
+ * show in those only.
  */
 static uint64_t ends_to_acknowledge(const struct wl_worker *w)
 {
-	return w->pending_starts->len > 0 || !w->renewal_answered ? 0 : w->ends_stored;
+	if (!w->renewal_answered || (w->pending_starts->len > 0 && !w->ends_left))
+		return 0;
+	return w->ends_stored;
 }
 
 /*
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -52,6 +52,7 @@
  *   {"odd_items":true}   a watch tells of an item that can't be read, and each list begins with
  * a page that holds only such items
  *   {"odd_rows":true}    the workers' lists have a row each that can't be read
+ *   {"hold_ends":true}   runs don't end by themselves until this is false
  *
  * The answer to POST /control has the number of calls to the store ("calls"), of lease renewals
  * ("renewals") and of starts on each worker ("started"), the jobs that had a task started
@@ -70,7 +71,8 @@
 #define HEARTBEAT_PERIOD      (300 * NSEC_PER_MSEC)
 #define LEASE_MAX_MS	      6000
 #define WATCH_EVENTS_MAX      1000
-#define JOB_ID_LEN	      16 /* a task's name begins with the id of its job */
+#define LISTED_ENDS_MAX	      500 /* the first of the ends that aren't acknowledged */
+#define JOB_ID_LEN	      16  /* a task's name begins with the id of its job */
 
 /* Members ending in _ms are times of now_ms(), except the durations ttl_ms and remaining_ms. */
 struct item {
@@ -154,6 +156,7 @@
 static bool down;
 static int64_t down_since_ms;
 static bool odd_rows;
+static bool hold_ends;
 static bool odd_items;
 static bool deaf_watches;
 static bool second_addr_down;
@@ -267,8 +270,10 @@
 static json_t *worker_json(const struct worker *w)
 {
 	json_t *running = json_array();
-	json_t *finished = json_copy(w->finished);
+	json_t *finished = json_array();
 
+	for (size_t i = 0; i < MIN(json_array_size(w->finished), LISTED_ENDS_MAX); i++)
+		json_array_append(finished, json_array_get(w->finished, i));
 	for (guint i = 0; i < w->runs->len; i++) {
 		const struct run *r = w->runs->pdata[i];
 
@@ -627,6 +632,8 @@
 		add_odd_item();
 	if (json_object_get(in, "odd_rows") != NULL)
 		odd_rows = json_is_true(json_object_get(in, "odd_rows"));
+	if (json_object_get(in, "hold_ends") != NULL)
+		hold_ends = json_is_true(json_object_get(in, "hold_ends"));
 	if (json_object_get(in, "lost_holds") != NULL)
 		renewal_answers_to_drop = json_integer_value(json_object_get(in, "lost_holds"));
 	if (json_object_get(in, "lost_starts") != NULL)
@@ -1019,7 +1026,7 @@
 				run_end(w, r, "lapsed");
 			else if (r->stop_at_ms != 0 && now_ms() >= r->stop_at_ms)
 				run_end(w, r, "stopped");
-			else if (r->remaining_ms <= 0)
+			else if (r->remaining_ms <= 0 && !hold_ends)
 				run_end(w, r, "done");
 		}
 		if (!w->gone && !w->frozen && !w->quiet &&
