agent: a worker that says that it leaves is gone once it doesn't answer

Callers would see tasks run twice (TWICE). A worker's DELETE names its id and no life. One that comes late, after the worker is back under the same id, was believed: the present life was reported as gone, its tasks were started elsewhere, and they ran on both.

The agent now asks the worker first. It has left if the call gets no answer, or that of another life; while it answers, its lists count, and its next report about itself shows that it goes on (report-outdated).

--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -57,7 +57,9 @@
 	struct pf_heartbeat heartbeat;
 	int64_t heartbeat_at;
 	int64_t spoke_at; /* the last heartbeat, also if it was outdated */
-	bool left;	  /* its last heartbeat said that it is leaving */
+	/* It has said that it leaves, and is asked whether it still answers. */
+	bool leaving;
+	bool left; /* it has left */
 	/* Reported as gone: it is silent, and every lease that it may have has run out. */
 	bool lost;
 	int64_t heard_at;	 /* the last heartbeat or answer */
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -141,6 +141,7 @@
 	w->replaced = false;
 	w->clock_at = 0;
 	w->lost = false;
+	w->leaving = false;
 	w->unanswered = 0;
 	w->ends_stored = 0;
 	w->ends_listed = 0;
@@ -426,14 +427,14 @@
 	struct pf_heartbeat heartbeat;
 };
 
-/* Handles the heartbeat of a worker that leaves, of which only the id is known. */
-static void process_leave(struct wl_worker *w, const struct pf_heartbeat *h)
+static void ask_leaving_worker(void *arg);
+
+/* Reports a worker that has left. */
+static void report_left(struct wl_worker *w)
 {
 	const struct pf_reply none = {.lists_present = true, .lists_complete = true};
 
-	if (g_strcmp0(w->heartbeat.id, h->id) == 0)
-		w->left = true;
-	if (!w->left || w->term == 0 || w->instance == NULL)
+	if (w->term == 0 || w->instance == NULL)
 		return;
 	/* It runs nothing any more: its empty lists are up to date and settle all starts. */
 	w->renewal_sent_at = worker_now(w);
@@ -441,6 +442,68 @@
 	report_runs(w, &none);
 }
 
+/* Whether an answer shows that the current instance is still there. */
+static bool is_still_there(
+	const struct wl_worker *w, const struct http_call *c, const struct pf_reply *r)
+{
+	if (c->error != NULL || r->kind == PF_REPLY_NO_ANSWER ||
+		r->kind == PF_REPLY_OTHER_INSTANCE)
+		return false;
+	return r->instance_started_at == 0 || r->instance_started_at == w->instance_started_at;
+}
+
+static void leaving_worker_asked(struct http_call *c, void *arg)
+{
+	struct worker_call *wc = arg;
+	struct wl_worker *w = wc->worker;
+	struct pf_reply r;
+
+	w->calls_pending--;
+	pf_reply_parse(c, &r);
+	if (w->freed) {
+		wl_worker_free(w);
+	} else if (w->leaving && is_still_there(w, c, &r)) {
+		loop_timer_add(w->p->loop, RENEWAL_RETRY_DELAY, 0, ask_leaving_worker, w);
+	} else if (w->leaving) {
+		w->leaving = false;
+		w->left = true;
+		report_left(w);
+	}
+	pf_reply_clear(&r);
+	http_call_free(c);
+	free(wc);
+}
+
+/* Asks a worker that has said that it leaves whether it is still there. */
+static void ask_leaving_worker(void *arg)
+{
+	struct wl_worker *w = arg;
+	const struct pf_lease_renewal question = {.fence = worker_fence(w)};
+
+	if (w->leaving && !w->freed)
+		worker_send_call(w,
+			pf_worker_renew_leases(
+				w->p->settings.worker_addr, w->heartbeat.id, &question),
+			NULL, leaving_worker_asked);
+}
+
+/*
+ * Handles the heartbeat of a worker that leaves, of which only the id is known. It may come
+ * late, from an instance before the current one under the same id, so it is believed once the
+ * worker doesn't answer any more. A worker that goes on sends another heartbeat.
+ */
+static void process_leave(struct wl_worker *w, const struct pf_heartbeat *h)
+{
+	if (w->left) {
+		report_left(w);
+		return;
+	}
+	if (w->leaving || g_strcmp0(w->heartbeat.id, h->id) != 0)
+		return;
+	w->leaving = true;
+	ask_leaving_worker(w);
+}
+
 /* Processes a heartbeat, on the loop. */
 static void process_heartbeat(void *arg)
 {
@@ -469,6 +532,11 @@
 		pf_heartbeat_clear(&w->heartbeat);
 		w->heartbeat = *h;
 		w->heartbeat_at = w->spoke_at;
+		if (w->leaving)
+			event_log(EV_REPORT_OUTDATED,
+				"report=%s sequence=-1 life=%s why=\"it goes on\"", h->id,
+				w->instance);
+		w->leaving = false;
 		w->left = false;
 	}
 	renew_and_list(w);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -37,6 +37,8 @@
  *   {"old_reports":"WORKER"} each heartbeat of the worker is followed by an overtaken one and
  *                        one of its previous life, both with all accelerators, until this
  *                        names another or none
+ *   {"leave_report":"WORKER"} the worker's agent is told that the worker leaves; by itself, as
+ * if that came late, or with "gone", as it should
  *   {"mute":"WORKER"}    the worker carries out calls and answers them with 500, until
  *                        "mute" names another worker or none that exists
  *   {"gone":"WORKER"}    the worker loses its state, sends no heartbeats, and answers calls
@@ -596,6 +598,25 @@
 	refuse_reason = xstrdup(json_string_value(json_object_get(in, "refuse_reason")));
 }
 
+static void heartbeat_done(struct http_call *c, void *arg)
+{
+	(void)arg;
+	http_call_free(c);
+}
+
+/* Tells a worker's agent that the worker leaves. */
+static void send_leave_report(const struct worker *w)
+{
+	AUTOFREE char *url = NULL;
+	struct http_call *c;
+
+	xasprintf(&url, "http://%s/v1/instances/%s", w->control, w->name);
+	c = http_call_new("DELETE", url);
+	c->timeout = NSEC_PER_SEC;
+	c->done = heartbeat_done;
+	http_client_send(client, c);
+}
+
 /* Applies the faults that a call asks for and reports counts and violations. */
 static void handle_control(struct http_request *r, const json_t *in)
 {
@@ -606,6 +627,7 @@
 	const char *quiet = json_string_value(json_object_get(in, "quiet"));
 	const char *resize = json_string_value(json_object_get(in, "resize"));
 	const char *old_reports = json_string_value(json_object_get(in, "old_reports"));
+	const char *leave_report = json_string_value(json_object_get(in, "leave_report"));
 	json_t *started = json_object();
 
 	if (json_object_get(in, "down") != NULL)
@@ -664,6 +686,8 @@
 			worker_crash(w);
 		if (gone != NULL)
 			w->gone = strcmp(gone, w->name) == 0;
+		if (leave_report != NULL && strcmp(leave_report, w->name) == 0)
+			send_leave_report(w);
 		json_object_set_new(started, w->name, json_integer(w->started));
 	}
 	reply(r, 200,
@@ -973,12 +997,6 @@
 	loop_post(loop, handle_worker_call, args);
 }
 
-static void heartbeat_done(struct http_call *c, void *arg)
-{
-	(void)arg;
-	http_call_free(c);
-}
-
 /* Sends a heartbeat of a life of a worker to its agent. */
 static void send_heartbeat(
 	const struct worker *w, int64_t started_at, int64_t sequence, json_int_t accelerators)
