core: an urgent job of many tasks is planned in linear time

A side VM has 0.15 of a core, and the coordinator's key expires after 2.5 s.

For each waiting task preemption looked at each run on each worker again, compared it with each victim so far, and went through all tasks of a run's step to free its resources. Now the runs that may be stopped on a worker are sorted by lost work once, victims are marked, and only workers on which something has changed are looked at again for the next task.

Evidence: the new unit test (suite cost) is ended by its alarm after 10 s on the code before and passes. Units and properties pass.

--- a/packages/workload/wl-preempt.c
+++ b/packages/workload/wl-preempt.c
@@ -56,117 +56,166 @@
 /* Work that is lost if a task is preempted; a gang is always preempted as a whole. */
 static double victim_lost_work(const struct wl *w, const struct wl_task *t, int64_t now)
 {
-	double sum = 0;
+	struct wl_unit *u = t->unit;
 
-	if (!t->unit->step->gang)
+	if (!u->step->gang)
 		return task_lost_work(w, t, now);
-	for (uint32_t i = 0; i < t->unit->step->count; i++) {
-		if (t->unit->tasks[i].node != NULL)
-			sum += task_lost_work(w, &t->unit->tasks[i], now);
+	if (u->lost_work_at == now)
+		return u->lost_work;
+	u->lost_work = 0;
+	u->lost_work_at = now;
+	for (uint32_t i = 0; i < u->step->count; i++) {
+		if (u->tasks[i].node != NULL)
+			u->lost_work += task_lost_work(w, &u->tasks[i], now);
 	}
-	return sum;
+	return u->lost_work;
 }
 
+/* A run that may be stopped for the unit. */
+struct preemptible {
+	struct wl_task *task;
+	double loss; /* core-seconds */
+	guint position;
+};
+
+/* A worker on which the next task of the unit may be placed. */
+struct preempt_option {
+	struct wl_node *node;
+	GArray *runs; /* of struct preemptible, those that lose least work first; or NULL */
+	guint first;  /* those before it are victims */
+	bool possible;
+	double cost; /* lost work, and what the worker's failures add */
+};
+
 /* The runs to be stopped for a unit, while they are being selected. */
 struct preemption {
 	GPtrArray *victims;
 	double loss;	       /* core-seconds */
 	bool within_guarantee; /* the unit is within its organisation's guarantee */
+	struct wl_resources need;
+	int64_t now;
 };
 
 /* Whether a task or its gang is already selected. */
-static bool is_victim(const struct preemption *c, const struct wl_task *t)
+static bool is_victim(const struct wl_task *t)
 {
-	for (guint i = 0; i < c->victims->len; i++) {
-		const struct wl_task *v = c->victims->pdata[i];
+	return t->unit->step->gang ? t->unit->victim : t->victim;
+}
 
-		if (v == t || (v->unit == t->unit && v->unit->step->gang))
-			return true;
-	}
-	return false;
+static void set_victim(struct wl_task *t, bool victim)
+{
+	if (t->unit->step->gang)
+		t->unit->victim = victim;
+	else
+		t->victim = victim;
+}
+
+/* Adds the resources that stopping a run would free, or deducts them again. */
+static void adjust_for_run(struct wl_task *t, const struct wl_resources *need, bool add)
+{
+	if (t->node == NULL || t->phase == TASK_STOPPING || t->phase == TASK_DONE)
+		return;
+	if (add)
+		resources_add(&t->node->free_after_stops, need);
+	else
+		resources_deduct(&t->node->free_after_stops, need);
 }
 
 /* Adds the resources that a victim and its gang would free, or deducts them again. */
-static void adjust_available(const struct wl_task *v, bool add)
+static void adjust_available(struct wl_task *v, bool add)
 {
 	struct wl_resources need = task_need(v->unit->step);
-	const struct wl_unit *u = v->unit;
 
-	for (uint32_t i = 0; i < u->step->count; i++) {
-		struct wl_task *t = &u->tasks[i];
-
-		if (t != v && !u->step->gang)
-			continue;
-		if (t->node == NULL || t->phase == TASK_STOPPING || t->phase == TASK_DONE)
-			continue;
-		if (add)
-			resources_add(&t->node->free_after_stops, &need);
-		else
-			resources_deduct(&t->node->free_after_stops, &need);
+	if (!v->unit->step->gang) {
+		adjust_for_run(v, &need, add);
+		return;
 	}
+	for (uint32_t i = 0; i < v->unit->step->count; i++)
+		adjust_for_run(&v->unit->tasks[i], &need, add);
+}
+
+static gint compare_preemptible(gconstpointer pa, gconstpointer pb)
+{
+	const struct preemptible *a = pa;
+	const struct preemptible *b = pb;
+
+	if (a->loss != b->loss)
+		return a->loss < b->loss ? -1 : 1;
+	return a->position < b->position ? -1 : 1;
 }
 
-/* The run on a node that loses least work and would free resources that are short. */
-static struct wl_task *cheapest_victim(struct wl *w, const struct wl_node *n,
-	const struct preemption *c, const struct wl_resources *need, int64_t now)
+/* Lists the runs on a worker that may be stopped, those that lose least work first. */
+static GArray *list_preemptible(
+	struct wl *w, const struct wl_node *n, const struct preemption *c)
 {
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct preemptible));
 	struct wl_task *t;
-	struct wl_task *best = NULL;
-	double lowest = 0;
 
 	TAILQ_FOREACH(t, &n->tasks, on_node) {
-		struct wl_resources frees = task_need(t->unit->step);
-		double loss;
+		struct preemptible p = {.task = t, .position = out->len};
 
 		if ((t->phase != TASK_RUNNING && t->phase != TASK_STARTING &&
 			    t->phase != TASK_PLACED) ||
-			!may_preempt(w, t->unit, c->within_guarantee) || is_victim(c, t))
+			!may_preempt(w, t->unit, c->within_guarantee))
 			continue;
-		/* Skip runs that free no resource that is short. */
-		if (!((need->accelerators > n->free_after_stops.accelerators &&
-			      frees.accelerators > 0) ||
-			    (need->cores_m > n->free_after_stops.cores_m &&
-				    frees.cores_m > 0) ||
-			    (need->memory_mb > n->free_after_stops.memory_mb &&
-				    frees.memory_mb > 0)))
-			continue;
-		loss = victim_lost_work(w, t, now);
-		if (best == NULL || loss < lowest) {
-			best = t;
-			lowest = loss;
-		}
+		p.loss = victim_lost_work(w, t, c->now);
+		g_array_append_val(out, p);
 	}
-	return best;
+	g_array_sort(out, compare_preemptible);
+	return out;
+}
+
+/* Whether stopping a run would free a resource that is short on a worker. */
+static bool frees_short_resource(
+	const struct wl_node *n, const struct wl_task *t, const struct wl_resources *need)
+{
+	const struct wl_available *left = &n->free_after_stops;
+	struct wl_resources frees = task_need(t->unit->step);
+
+	return (need->accelerators > left->accelerators && frees.accelerators > 0) ||
+	       (need->cores_m > left->cores_m && frees.cores_m > 0) ||
+	       (need->memory_mb > left->memory_mb && frees.memory_mb > 0);
 }
 
 /* Drops the victims from a position on and restores the loss without them. */
 static void victims_truncate(struct preemption *c, guint from, double loss)
 {
-	for (guint i = from; i < c->victims->len; i++)
+	for (guint i = from; i < c->victims->len; i++) {
 		adjust_available(c->victims->pdata[i], false);
+		set_victim(c->victims->pdata[i], false);
+	}
 	g_ptr_array_set_size(c->victims, (gint)from);
 	c->loss = loss;
 }
 
-/* Selects victims on a node for one task; returns false with no change if that fails. */
-static bool preempt_on_node(struct wl *w, struct wl_node *n, const struct wl_resources *need,
-	struct preemption *c, int64_t now)
+/*
+ * Selects victims on a worker for one task; returns false with no change if that fails. What is
+ * short only shrinks meanwhile, so a run that frees none of it is not looked at again.
+ */
+static bool preempt_on_node(struct wl *w, struct preempt_option *o, struct preemption *c)
 {
+	struct wl_node *n = o->node;
 	guint from = c->victims->len;
 	double loss = c->loss;
 
-	while (!resources_fit(&n->free_after_stops, need)) {
-		struct wl_task *v = cheapest_victim(w, n, c, need, now);
+	if (resources_fit(&n->free_after_stops, &c->need))
+		return true;
+	if (o->runs == NULL)
+		o->runs = list_preemptible(w, n, c);
+	for (guint i = o->first; i < o->runs->len; i++) {
+		const struct preemptible *p = &g_array_index(o->runs, struct preemptible, i);
 
-		if (v == NULL) {
-			victims_truncate(c, from, loss);
-			return false;
-		}
-		g_ptr_array_add(c->victims, v);
-		c->loss += victim_lost_work(w, v, now);
-		adjust_available(v, true);
+		if (is_victim(p->task) || !frees_short_resource(n, p->task, &c->need))
+			continue;
+		g_ptr_array_add(c->victims, p->task);
+		set_victim(p->task, true);
+		c->loss += p->loss;
+		adjust_available(p->task, true);
+		if (resources_fit(&n->free_after_stops, &c->need))
+			return true;
 	}
-	return true;
+	victims_truncate(c, from, loss);
+	return false;
 }
 
 /* Drops all victims and the placements from a position on, and restores the resources. */
@@ -176,58 +225,100 @@
 	victims_truncate(c, 0, 0);
 }
 
-/* Plans a task on the worker where preemption loses least work. */
-static bool preempt_for_task(struct wl *w, struct wl_unit *u, struct wl_task *t, int64_t now,
-	const char *rack, struct preemption *c, GArray *plan)
+/* Computes what it costs to place the next task on a worker. */
+static void option_update(struct wl *w, struct preempt_option *o, struct preemption *c)
 {
-	struct wl_resources need = task_need(u->step);
-	const GPtrArray *nodes = rack_nodes(w, rack);
-	struct wl_node *best = NULL;
-	double lowest = 0;
+	guint from = c->victims->len;
+	double before = c->loss;
+
+	while (o->runs != NULL && o->first < o->runs->len &&
+		is_victim(g_array_index(o->runs, struct preemptible, o->first).task))
+		o->first++;
+	c->loss = 0;
+	o->possible = preempt_on_node(w, o, c);
+	o->cost = c->loss + node_unreliability(o->node, c->now) * FAILURE_COST;
+	victims_truncate(c, from, before);
+	o->node->preempt_stale = false;
+}
+
+/* Marks the workers on which a victim and its gang run as changed. */
+static void mark_victim_workers(const struct wl_task *v)
+{
+	for (uint32_t i = 0; v->unit->step->gang && i < v->unit->step->count; i++) {
+		if (v->unit->tasks[i].node != NULL)
+			v->unit->tasks[i].node->preempt_stale = true;
+	}
+	v->node->preempt_stale = true;
+}
+
+/*
+ * Plans a task on the worker where preemption loses least work. Only workers on which something
+ * has changed since the last task are looked at anew.
+ */
+static bool preempt_for_task(struct wl *w, struct wl_unit *u, struct wl_task *t,
+	GArray *options, struct preemption *c, GArray *plan)
+{
+	struct preempt_option *best = NULL;
 	struct placement p = {.task = t};
+	guint from = c->victims->len;
 
-	for (guint i = 0; i < nodes->len; i++) {
-		struct wl_node *n = nodes->pdata[i];
-		guint from = c->victims->len;
-		double before = c->loss;
-		double loss;
+	for (guint i = 0; i < options->len; i++) {
+		struct preempt_option *o = &g_array_index(options, struct preempt_option, i);
 
-		if (!node_eligible(n, u) || !below_worker_limit(u, n, plan) ||
-			!preempt_on_node(w, n, &need, c, now))
+		if (!below_worker_limit(u, o->node, plan))
 			continue;
-		loss = c->loss + node_unreliability(n, now) * FAILURE_COST;
-		victims_truncate(c, from, before);
-		if (best == NULL || loss < lowest) {
-			best = n;
-			lowest = loss;
-		}
-		if (loss <= before)
+		if (o->node->preempt_stale)
+			option_update(w, o, c);
+		if (o->possible && (best == NULL || o->cost < best->cost))
+			best = o;
+		if (best != NULL && best->cost <= 0)
 			break;
 	}
-	if (best == NULL || !preempt_on_node(w, best, &need, c, now))
+	if (best == NULL || !preempt_on_node(w, best, c))
 		return false;
-	resources_deduct(&best->free_after_stops, &need);
-	p.node = best;
+	for (guint i = from; i < c->victims->len; i++)
+		mark_victim_workers(c->victims->pdata[i]);
+	p.node = best->node;
+	resources_deduct(&p.node->free_after_stops, &c->need);
+	p.node->preempt_stale = true;
 	g_array_append_val(plan, p);
 	return true;
 }
 
+static void option_clear(void *arg)
+{
+	struct preempt_option *o = arg;
+
+	if (o->runs != NULL)
+		g_array_unref(o->runs);
+}
+
 /* Plans all waiting tasks of a unit, within a rack if it is not NULL. */
-static bool preempt_for_unit(struct wl *w, struct wl_unit *u, int64_t now, const char *rack,
-	struct preemption *c, GArray *plan)
+static bool preempt_for_unit(
+	struct wl *w, struct wl_unit *u, const char *rack, struct preemption *c, GArray *plan)
 {
+	g_autoptr(GArray) options = g_array_new(FALSE, FALSE, sizeof(struct preempt_option));
+	const GPtrArray *nodes = rack_nodes(w, rack);
+
+	g_array_set_clear_func(options, option_clear);
+	for (guint i = 0; i < nodes->len; i++) {
+		struct preempt_option o = {.node = nodes->pdata[i]};
+
+		o.node->preempt_stale = true;
+		if (node_eligible(o.node, u))
+			g_array_append_val(options, o);
+	}
 	for (uint32_t i = 0; i < u->step->count; i++) {
 		if (u->tasks[i].phase != TASK_WAITING || u->tasks[i].node != NULL)
 			continue;
-		if (!preempt_for_task(w, u, &u->tasks[i], now, rack, c, plan))
+		if (!preempt_for_task(w, u, &u->tasks[i], options, c, plan))
 			return false;
 	}
 	return true;
 }
 
 /* Plans all waiting tasks within the rack where preemption loses least work. */
-static bool preempt_in_rack(
-	struct wl *w, struct wl_unit *u, int64_t now, struct preemption *c, GArray *plan)
+static bool preempt_in_rack(struct wl *w, struct wl_unit *u, struct preemption *c, GArray *plan)
 {
 	const GPtrArray *racks = list_racks(w);
 	const char *best = NULL;
@@ -237,14 +328,14 @@
 	for (guint i = 0; i < racks->len; i++) {
 		const char *rack = ((struct wl_rack *)racks->pdata[i])->name;
 
-		if (preempt_for_unit(w, u, now, rack, c, plan) &&
+		if (preempt_for_unit(w, u, rack, c, plan) &&
 			(best == NULL || c->loss < lowest)) {
 			best = rack;
 			lowest = c->loss;
 		}
 		preemption_undo(c, plan, from);
 	}
-	return best != NULL && preempt_for_unit(w, u, now, best, c, plan);
+	return best != NULL && preempt_for_unit(w, u, best, c, plan);
 }
 
 /* Work in core-seconds of the waiting tasks of a unit. */
@@ -266,19 +357,21 @@
 bool preempt_for_urgent_unit(
 	struct wl *w, struct wl_unit *u, int64_t now, bool within_guarantee, GArray *plan)
 {
-	struct preemption c = {
-		.victims = g_ptr_array_new(), .within_guarantee = within_guarantee};
+	struct preemption c = {.victims = g_ptr_array_new(),
+		.within_guarantee = within_guarantee,
+		.need = task_need(u->step),
+		.now = now};
 	g_autoptr(GPtrArray) victims = c.victims;
 	guint from = plan->len;
 	bool ok = false;
 
 	if (u->step->data_rack != NULL)
-		ok = preempt_for_unit(w, u, now, u->data_rack, &c, plan);
+		ok = preempt_for_unit(w, u, u->data_rack, &c, plan);
 	else if (u->step->rack_local)
-		ok = preempt_in_rack(w, u, now, &c, plan);
+		ok = preempt_in_rack(w, u, &c, plan);
 	if (!ok && unit_may_spread(w, u, now)) {
 		preemption_undo(&c, plan, from);
-		ok = preempt_for_unit(w, u, now, NULL, &c, plan);
+		ok = preempt_for_unit(w, u, NULL, &c, plan);
 	}
 	if (!ok || (!within_guarantee && c.loss > waiting_work(u))) {
 		preemption_undo(&c, plan, from);
@@ -287,6 +380,7 @@
 	for (guint i = 0; i < victims->len; i++) {
 		struct wl_task *v = victims->pdata[i];
 
+		set_victim(v, false);
 		if (v->unit->step->gang)
 			unit_stop(v->unit, now, "preempted by an urgent job", u->job->spec.id);
 		else
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -117,6 +117,7 @@
 	 * other workers are preferred unless their own score is higher still.
 	 */
 	const struct wl_node *avoid_node;
+	bool victim; /* selected by the preemption that is being planned */
 	TAILQ_ENTRY(wl_task) on_node;
 };
 
@@ -153,6 +154,11 @@
 	/* Completed runs that were timed, and the sum of the logarithms of their times. */
 	uint32_t timed_runs;
 	double log_time_sum;
+	/* Gangs only: work lost if it were preempted, and the time of the pass that computed
+	 * it. */
+	double lost_work;
+	int64_t lost_work_at;
+	bool victim; /* gangs only: see wl_task.victim */
 	/* Interned names of the step's label and data rack; NULL for none. */
 	char *label;
 	char *data_rack;
@@ -287,6 +293,7 @@
 	struct wl_available free;	      /* unallocated; recomputed by each pass */
 	struct wl_available free_after_stops; /* free, plus what is being stopped */
 	bool usable;			      /* accepts new tasks in this pass */
+	bool preempt_stale; /* what preemption on it would cost has to be computed anew */
 	/*
 	 * Held back for urgent jobs: takes no new tasks of units that may not use the headroom.
 	 * Runs that it already has continue.
--- /dev/null
+++ b/tests/unit/test-cost.c
@@ -0,0 +1,82 @@
+#include "unit.h"
+
+#include "workload-fixture.h"
+
+#include <string.h>
+#include <unistd.h>
+
+/*
+ * Jobs at the limits of what is accepted. Each test guards against a job that keeps the
+ * coordinator busy for so long that it loses its term, as then does the next one: nothing
+ * starts any more, and the leases of what runs lapse.
+ */
+
+#define WORKERS	      62
+#define BATCH_ID      "00000000000000a1"
+#define URGENT_ID     "00000000000000b2"
+#define SMALL_CORES_M 100 /* of a task, so that all accepted tasks of a job run at once */
+
+/* Ends the process if what follows takes seconds, as a share of a core has no more to spare. */
+static void limit_time(void)
+{
+	alarm(10);
+}
+
+static void submit_step(
+	struct fixture *f, const char *id, const char *queue, const struct wl_step *step)
+{
+	const struct wl_spec spec = {.id = (char *)id,
+		.queue = (char *)queue,
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = (struct wl_step *)step,
+		.steps_len = 1};
+
+	wl_job_add(f->wl, f->now, f->now, &spec, NULL);
+}
+
+/* Has the workers answer the starts from a position on. */
+static void answer_starts(struct fixture *f, guint from)
+{
+	for (guint i = from; i < f->started->len; i++) {
+		const struct started *s = &g_array_index(f->started, struct started, i);
+		g_autofree char *instance = g_strconcat(s->node, "@1", NULL);
+		const struct wl_answer_note a = {.term = 1,
+			.worker_instance = instance,
+			.ordinal = s->ordinal,
+			.task = (char *)s->task,
+			.attempt = s->attempt,
+			.answer = WL_ANSWER_RUNNING};
+
+		wl_node_answer(f->wl, f->now, &a);
+	}
+}
+
+/* An urgent job of many tasks preempts as many small ones on a full fleet. */
+static void test_preemption_of_many_tasks(void)
+{
+	const struct wl_step small = {
+		.count = WL_TASKS_MAX, .cores_m = SMALL_CORES_M, .estimate_ms = 60000};
+	const struct wl_step urgent = {
+		.count = 2000, .cores_m = SMALL_CORES_M, .estimate_ms = 1000};
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 0, WORKERS);
+	submit_step(&f, BATCH_ID, "batch", &small);
+	limit_time();
+	run_pass(&f);
+	answer_starts(&f, 0);
+	f.now += 100 * MS;
+	submit_step(&f, URGENT_ID, "urgent", &urgent);
+	run_pass(&f);
+	alarm(0);
+	CU_ASSERT_EQUAL(f.stops, urgent.count);
+	fixture_clear(&f);
+}
+
+void unit_cost(CU_pSuite s)
+{
+	CU_add_test(s, "an urgent job preempts many small tasks in one pass",
+		test_preemption_of_many_tasks);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -12,6 +12,7 @@
 void unit_workers(CU_pSuite s);
 void unit_http(CU_pSuite s);
 void unit_records(CU_pSuite s);
+void unit_cost(CU_pSuite s);
 void unit_crash(CU_pSuite s);
 
 #endif
