core: the starts of a job are sent in linear time

An accepted job of 20,000 small tasks that run at once, on as few as six workers, kept the coordinator busy for 1.4 s of a whole core each time its progress was stored, that is after each start, end and checkpoint (LOST, as with the job of 32 steps: a side VM has 0.15 of a core, and the coordinator's key expires after 2.5 s).

To put the starts for one worker into one order, all tasks of the step were gone through for each task that has a worker, whether it was to be started or not. They are now grouped by worker in one go.

Evidence: the new unit test (suite cost: 20,000 starts, stored 100 times) is ended by its alarm after 10 s on the code before; the whole suite takes 0.3 s now. Units and properties pass.

--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -308,41 +308,58 @@
 		g_strlcpy(u->tasks[i].checkpoint, checkpoint, sizeof(t->checkpoint));
 }
 
+/* Sends the start order for tasks of a unit on one worker. */
+static void send_starts(struct wl_unit *u, const GPtrArray *tasks, int64_t now)
+{
+	g_autoptr(GArray) starts = g_array_new(FALSE, TRUE, sizeof(struct wl_start));
+	struct wl_job *j = u->job;
+	const struct wl_node *n = ((struct wl_task *)tasks->pdata[0])->node;
+	struct wl_start_order o = {.term = j->wl->term,
+		.worker_instance = n->instance_id,
+		.payload = j->spec.payload,
+		.starts_len = tasks->len};
+
+	for (guint i = 0; i < tasks->len; i++) {
+		struct wl_task *t = tasks->pdata[i];
+		struct wl_start s = {.attempt = t->attempt,
+			.checkpoint = t->checkpoint,
+			.ordinal = ++j->wl->ordinal,
+			.task = task_name(t)};
+
+		t->phase = TASK_STARTING;
+		t->ordinal = s.ordinal;
+		t->placed_at = now;
+		g_array_append_val(starts, s);
+	}
+	o.starts = (struct wl_start *)starts->data;
+	j->wl->callbacks.start(j->wl->callbacks.arg, n->name, &o);
+	for (guint i = 0; i < starts->len; i++)
+		free(g_array_index(starts, struct wl_start, i).task);
+}
+
 /* Sends the start orders of a unit's tasks whose placement is stored, one order per worker. */
 static void unit_send_starts(struct wl_unit *u, int64_t now)
 {
-	struct wl_job *j = u->job;
-	struct wl *w = j->wl;
+	g_autoptr(GHashTable) by_node = g_hash_table_new(g_direct_hash, g_direct_equal);
+	g_autoptr(GPtrArray) orders =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_ptr_array_unref);
 
 	for (uint32_t i = 0; i < u->step->count; i++) {
-		struct wl_node *n = u->tasks[i].node;
-		g_autoptr(GArray) starts = g_array_new(FALSE, TRUE, sizeof(struct wl_start));
-		struct wl_start_order o = {.term = w->term, .payload = j->spec.payload};
-
-		for (uint32_t k = i; n != NULL && k < u->step->count; k++) {
-			struct wl_task *t = &u->tasks[k];
-			struct wl_start s = {
-				.attempt = t->attempt, .checkpoint = t->checkpoint};
-
-			if (t->node != n || t->phase != TASK_PLACED ||
-				t->placement_version > j->stored)
-				continue;
-			t->phase = TASK_STARTING;
-			t->ordinal = ++w->ordinal;
-			t->placed_at = now;
-			s.ordinal = t->ordinal;
-			s.task = task_name(t);
-			g_array_append_val(starts, s);
-		}
-		if (starts->len == 0)
+		struct wl_task *t = &u->tasks[i];
+		GPtrArray *tasks;
+
+		if (t->phase != TASK_PLACED || t->placement_version > u->job->stored)
 			continue;
-		o.worker_instance = n->instance_id;
-		o.starts = (struct wl_start *)starts->data;
-		o.starts_len = starts->len;
-		w->callbacks.start(w->callbacks.arg, n->name, &o);
-		for (guint k = 0; k < starts->len; k++)
-			free(g_array_index(starts, struct wl_start, k).task);
+		tasks = g_hash_table_lookup(by_node, t->node);
+		if (tasks == NULL) {
+			tasks = g_ptr_array_new();
+			g_ptr_array_add(orders, tasks);
+			g_hash_table_insert(by_node, t->node, tasks);
+		}
+		g_ptr_array_add(tasks, t);
 	}
+	for (guint i = 0; i < orders->len; i++)
+		send_starts(u, orders->pdata[i], now);
 }
 
 /* Sends the start orders that were waiting for a job's placements to be stored. */
--- a/tests/unit/test-cost.c
+++ b/tests/unit/test-cost.c
@@ -75,8 +75,28 @@
 	fixture_clear(&f);
 }
 
+/* All tasks of a job start at once, and its progress is stored again and again afterwards. */
+static void test_starts_of_many_tasks(void)
+{
+	const struct wl_step small = {
+		.count = WL_TASKS_MAX, .cores_m = 1, .estimate_ms = 60000};
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 0, WORKERS);
+	submit_step(&f, BATCH_ID, "batch", &small);
+	limit_time();
+	run_pass(&f);
+	for (uint64_t version = 2; version < 100; version++)
+		wl_job_stored(f.wl, f.now, BATCH_ID, version);
+	alarm(0);
+	CU_ASSERT_EQUAL(f.starts, small.count);
+	fixture_clear(&f);
+}
+
 void unit_cost(CU_pSuite s)
 {
+	CU_add_test(s, "all tasks of a job start at once", test_starts_of_many_tasks);
 	CU_add_test(s, "an urgent job preempts many small tasks in one pass",
 		test_preemption_of_many_tasks);
 }
