core: count a step's tasks on each worker once for a plan

The tasks on each worker are now counted at most once for a plan, and those that are planned added.

Evidence: the new unit test (suite cost, eight such jobs) is ended by its alarm after 10 s on the code before; one such pass takes 0.004 s now. Units, also with the address sanitizer, and properties pass.

--- a/packages/workload/wl-place.c
+++ b/packages/workload/wl-place.c
@@ -48,20 +48,40 @@
 	       (u->label == NULL || has_label(n, u->label));
 }
 
+void worker_counts_reset(struct wl *w)
+{
+	w->counts_serial++;
+	w->counted = false;
+}
+
+void worker_counts_add(struct wl_node *n)
+{
+	if (!n->wl->counted)
+		return;
+	n->unit_tasks = n->counts_serial == n->wl->counts_serial ? n->unit_tasks + 1 : 1;
+	n->counts_serial = n->wl->counts_serial;
+}
+
 /* Number of tasks of a unit on a worker, including the planned ones. */
 static uint32_t count_on_node(
 	const struct wl_unit *u, const struct wl_node *n, const GArray *plan)
 {
-	uint32_t count = 0;
+	struct wl *w = n->wl;
 
-	for (uint32_t i = 0; i < u->step->count; i++)
-		count += u->tasks[i].node == n;
-	for (guint i = 0; i < plan->len; i++) {
-		const struct placement *p = &g_array_index(plan, struct placement, i);
+	if (!w->counted) {
+		w->counted = true;
+		for (uint32_t i = 0; i < u->step->count; i++) {
+			if (u->tasks[i].node != NULL)
+				worker_counts_add(u->tasks[i].node);
+		}
+		for (guint i = 0; i < plan->len; i++) {
+			const struct placement *p = &g_array_index(plan, struct placement, i);
 
-		count += p->task->unit == u && p->node == n;
+			if (p->task->unit == u)
+				worker_counts_add(p->node);
+		}
 	}
-	return count;
+	return n->counts_serial == w->counts_serial ? n->unit_tasks : 0;
 }
 
 /*
@@ -224,6 +244,7 @@
 	guint next = 0;
 	struct placement p;
 
+	worker_counts_reset(w);
 	while ((p.task = next_waiting(u, &index)) != NULL) {
 		bool suspect = !u->step->gang && task_is_suspect(p.task);
 
@@ -247,6 +268,7 @@
 		if (p.node == NULL)
 			break;
 		resources_deduct(available_on(p.node, view), &need);
+		worker_counts_add(p.node);
 		g_array_append_val(out, p);
 		placed++;
 	}
--- a/packages/workload/wl-preempt.c
+++ b/packages/workload/wl-preempt.c
@@ -281,6 +281,7 @@
 	p.node = best->node;
 	resources_deduct(&p.node->free_after_stops, &c->need);
 	p.node->preempt_stale = true;
+	worker_counts_add(p.node);
 	g_array_append_val(plan, p);
 	return true;
 }
@@ -300,6 +301,7 @@
 	g_autoptr(GArray) options = g_array_new(FALSE, FALSE, sizeof(struct preempt_option));
 	const GPtrArray *nodes = rack_nodes(w, rack);
 
+	worker_counts_reset(w);
 	g_array_set_clear_func(options, option_clear);
 	for (guint i = 0; i < nodes->len; i++) {
 		struct preempt_option o = {.node = nodes->pdata[i]};
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -293,6 +293,9 @@
 	struct wl_available free;	      /* unallocated; recomputed by each pass */
 	struct wl_available free_after_stops; /* free, plus what is being stopped */
 	bool usable;			      /* accepts new tasks in this pass */
+	/* Tasks of the unit that is being placed, if the serial is that of wl.counts_serial. */
+	uint32_t unit_tasks;
+	uint64_t counts_serial;
 	bool preempt_stale; /* what preemption on it would cost has to be computed anew */
 	/*
 	 * Held back for urgent jobs: takes no new tasks of units that may not use the headroom.
@@ -358,6 +361,9 @@
 	int64_t crash_times[8];
 	unsigned int crashes;
 	GArray *pending_failures; /* jobs to be given up, see wl-crash.c */
+	/* See worker_counts_reset. */
+	uint64_t counts_serial;
+	bool counted;
 	/* Whether the unit that is being placed may use headroom workers. */
 	bool may_use_headroom;
 };
@@ -422,6 +428,12 @@
 };
 uint32_t place_unit(struct wl *w, struct wl_unit *u, int64_t now, enum placement_view view,
 	bool anywhere, GArray *out);
+/*
+ * Drops the numbers of a unit's tasks on each worker, before another unit or another plan. They
+ * are counted once they are needed. A task that is planned after that has to be added.
+ */
+void worker_counts_reset(struct wl *w);
+void worker_counts_add(struct wl_node *n);
 bool below_worker_limit(const struct wl_unit *u, const struct wl_node *n, const GArray *plan);
 /* The nodes of a rack, or all nodes if it is NULL. The name must be interned. */
 const GPtrArray *rack_nodes(struct wl *w, const char *rack);
--- a/tests/unit/test-cost.c
+++ b/tests/unit/test-cost.c
@@ -14,6 +14,7 @@
 #define WORKERS	      62
 #define BATCH_ID      "00000000000000a1"
 #define URGENT_ID     "00000000000000b2"
+#define JOBS	      8
 #define SMALL_CORES_M 100 /* of a task, so that all accepted tasks of a job run at once */
 
 /* Ends the process if what follows takes seconds, as a share of a core has no more to spare. */
@@ -94,8 +95,34 @@
 	fixture_clear(&f);
 }
 
+/* Each worker may hold some hundreds of a job's tasks, and no more; for several jobs. */
+static void test_limit_of_tasks_per_worker(void)
+{
+	const struct wl_step limited = {.count = WL_TASKS_MAX,
+		.cores_m = 1,
+		.estimate_ms = 60000,
+		.per_worker_max = 300};
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 0, WORKERS);
+	for (unsigned int i = 0; i < JOBS; i++) {
+		g_autofree char *id = g_strdup_printf("%016x", i);
+
+		submit_step(&f, id, "batch", &limited);
+	}
+	limit_time();
+	for (int i = 0; i < 3; i++)
+		run_pass(&f);
+	alarm(0);
+	CU_ASSERT_EQUAL(f.starts, JOBS * WORKERS * limited.per_worker_max);
+	fixture_clear(&f);
+}
+
 void unit_cost(CU_pSuite s)
 {
+	CU_add_test(s, "a job of many tasks limits those on a worker",
+		test_limit_of_tasks_per_worker);
 	CU_add_test(s, "all tasks of a job start at once", test_starts_of_many_tasks);
 	CU_add_test(s, "an urgent job preempts many small tasks in one pass",
 		test_preemption_of_many_tasks);
