core: the members of a gang resume from one checkpoint

A gang whose workers were all lost started again with the checkpoints that each member had listed by itself. Also each member's end copied its checkpoint to all others, which is quadratic for a large gang.

A gang has one checkpoint now, that of its first member, as it was stored already. Each member's value is valid for all.

Evidence: the new unit test starts the second member from "00bb" and the first from "00aa" on the code before.

--- a/packages/workload/wl-health.c
+++ b/packages/workload/wl-health.c
@@ -44,7 +44,7 @@
 void task_record_progress(struct wl_task *t, int64_t now, uint64_t sent_ns, uint32_t percent)
 {
 	if (t->base_at == 0) {
-		bool resumed = *t->checkpoint != '\0';
+		bool resumed = *task_checkpoint(t) != '\0';
 
 		t->base_percent = resumed ? percent : 0;
 		t->base_at = resumed || t->running_at == 0 ? now : t->running_at;
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -227,10 +227,10 @@
 		for (uint32_t i = 0; i < u->step->count; i++) {
 			if (m->done && u->tasks[i].phase != TASK_DONE)
 				u->tasks[i].phase = TASK_DONE;
-			if (m->checkpoint != NULL)
-				g_strlcpy(u->tasks[i].checkpoint, m->checkpoint,
-					sizeof(u->tasks[i].checkpoint));
 		}
+		if (m->checkpoint != NULL)
+			g_strlcpy(u->tasks[0].checkpoint, m->checkpoint,
+				sizeof(u->tasks[0].checkpoint));
 		if (m->done) {
 			u->is_done = true;
 			u->done_count = u->step->count;
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -377,12 +377,14 @@
 }
 
 /*
- * Records a run's checkpoint. The checkpoint must be stored to survive this process, but not at
- * once: a later pass requests it (store_checkpoints).
+ * Records a run's checkpoint, for a gang that of its first member. The checkpoint must be
+ * stored to survive this process, but not at once: a later pass requests it
+ * (store_checkpoints).
  */
 static void record_checkpoint(struct wl_task *t, const char *checkpoint)
 {
 	if (checkpoint == NULL || *checkpoint == '\0' || !t->unit->step->checkpoints ||
+		(t->unit->step->gang && t->index != 0) ||
 		strcmp(checkpoint, t->checkpoint) == 0)
 		return;
 	g_strlcpy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -216,7 +216,8 @@
 		event_log(EV_TASK_START,
 			"task=%s.%u.%u.%u attempt=%u node=%s checkpoint=%s waited_ms=%" PRId64,
 			j->spec.id, u->occurrence, u->step_index, t->index, t->attempt,
-			p->node->name, t->checkpoint, (now - t->waiting_since) / NSEC_PER_MSEC);
+			p->node->name, task_checkpoint(t),
+			(now - t->waiting_since) / NSEC_PER_MSEC);
 	}
 	crash_release(u);
 	if (j->state == WL_QUEUED)
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -68,7 +68,7 @@
 	uint32_t failures;
 	uint32_t failed_attempt; /* last attempt that was counted in failures */
 	struct wl_crashes crashes;
-	char checkpoint[WL_CHECKPOINT_MAX + 1];
+	char checkpoint[WL_CHECKPOINT_MAX + 1]; /* of a gang: see task_checkpoint */
 	/*
 	 * Node of the current run, set until the run is known to have ended: while it is being
 	 * stopped, and also after another attempt has completed the task.
@@ -382,6 +382,7 @@
 bool unit_dependencies_met(const struct wl_unit *u);
 
 /* wl-run.c */
+char *task_checkpoint(struct wl_task *t);
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt);
 void task_detach(struct wl_task *t, int64_t now, const char *why);
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *beneficiary);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -27,6 +27,15 @@
 	return MAX(last + 1, first);
 }
 
+/*
+ * The checkpoint that a task resumes from; empty for none. The members of a gang share that of
+ * the first one, as they have to resume from the same.
+ */
+char *task_checkpoint(struct wl_task *t)
+{
+	return t->unit->step->gang ? t->unit->tasks[0].checkpoint : t->checkpoint;
+}
+
 /* Assigns a task to a node, which allocates the task's resources there. */
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt)
 {
@@ -293,19 +302,11 @@
 	job_request_store(u->job, WL_STORE_SOON);
 }
 
-/* Saves the checkpoint of a run that has ended; the members of a gang share it. */
+/* Saves the checkpoint of a run that has ended. */
 static void save_checkpoint(struct wl_task *t, const char *checkpoint)
 {
-	struct wl_unit *u = t->unit;
-
-	if (checkpoint == NULL || *checkpoint == '\0' || !u->step->checkpoints)
-		return;
-	if (!u->step->gang) {
-		g_strlcpy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
-		return;
-	}
-	for (uint32_t i = 0; i < u->step->count; i++)
-		g_strlcpy(u->tasks[i].checkpoint, checkpoint, sizeof(t->checkpoint));
+	if (checkpoint != NULL && *checkpoint != '\0' && t->unit->step->checkpoints)
+		g_strlcpy(task_checkpoint(t), checkpoint, sizeof(t->checkpoint));
 }
 
 /* Sends the start order for tasks of a unit on one worker. */
@@ -322,7 +323,7 @@
 	for (guint i = 0; i < tasks->len; i++) {
 		struct wl_task *t = tasks->pdata[i];
 		struct wl_start s = {.attempt = t->attempt,
-			.checkpoint = t->checkpoint,
+			.checkpoint = task_checkpoint(t),
 			.ordinal = ++j->wl->ordinal,
 			.task = task_name(t)};
 
@@ -396,7 +397,7 @@
 	t->unit->attempt = MAX(t->unit->attempt, e->attempt);
 	if (e->how == WL_END_DONE && !t->unit->step->long_running) {
 		node_record_success(n, started_at);
-		if (current && t->running_at > 0 && *t->checkpoint == '\0') {
+		if (current && t->running_at > 0 && *task_checkpoint(t) == '\0') {
 			run_stats_record(t, now - t->running_at);
 			if (!t->unit->step->gang)
 				speed_record(n, t->unit, now - t->running_at);
@@ -409,7 +410,7 @@
 	if (current) {
 		task_detach(t, now, "ended");
 		save_checkpoint(t, e->checkpoint);
-		if (*t->checkpoint != '\0')
+		if (*task_checkpoint(t) != '\0')
 			job_request_store(t->unit->job, WL_STORE_SOON);
 	}
 	if (e->how == WL_END_FAILED) {
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -668,6 +668,68 @@
 	fixture_clear(&f);
 }
 
+/* Reports that a worker lists a member of the gang, or with instance 2 that it has restarted.
+ */
+static void report_gang_member(struct fixture *f, uint32_t member, int instance)
+{
+	static const char *const nodes[] = {"w1", "w2"};
+	static const char *const checkpoints[] = {"00aa", "00bb"};
+	g_autofree char *task = g_strdup_printf("0000000000000001.0.0.%u", member);
+	g_autofree char *name = g_strdup_printf("%s@%d", nodes[member], instance);
+	struct wl_run run = {
+		.task = task, .attempt = 1, .checkpoint = (char *)checkpoints[member]};
+	const struct wl_report r = {.node = (char *)nodes[member],
+		.worker_instance = name,
+		.service = (char *)"s",
+		.accelerators = 8,
+		.cores_m = 32000,
+		.covers = f->ordinal,
+		.sent_ns = (uint64_t)f->now,
+		.runs = &run,
+		.runs_len = instance == 1};
+
+	wl_node_report(f->wl, f->now, f->now, &r);
+}
+
+/*
+ * The members of a gang list different checkpoints, and are lost without an end: they start
+ * again from one of these, as a gang works only if all resume from the same.
+ */
+static void test_gang_resumes_from_one_checkpoint(void)
+{
+	struct wl_step step = {.count = 2,
+		.accelerators = 8,
+		.estimate_ms = 9000,
+		.gang = true,
+		.checkpoints = true};
+	struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = &step,
+		.steps_len = 1};
+	const struct started *again;
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 1, 3);
+	wl_job_add(f.wl, f.now, f.now, &spec, NULL);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	for (int instance = 1; instance <= 2; instance++) {
+		for (int i = 0; i < 3; i++) {
+			f.now += SEC;
+			report_gang_member(&f, 0, instance);
+			report_gang_member(&f, 1, instance);
+			run_pass(&f);
+		}
+	}
+	CU_ASSERT_EQUAL_FATAL(f.starts, 4);
+	again = &g_array_index(f.started, struct started, 2);
+	CU_ASSERT_STRING_EQUAL(again[0].checkpoint, "00aa");
+	CU_ASSERT_STRING_EQUAL(again[1].checkpoint, "00aa");
+	fixture_clear(&f);
+}
+
 /* Reports worker w1 with one run; it is draining if leaves_in_ms is not 0. */
 static void report_run(struct fixture *f, uint32_t percent, uint32_t leaves_in_ms)
 {
@@ -970,6 +1032,8 @@
 	CU_add_test(s, "a task is not started again before its start is answered",
 		test_unanswered_start);
 	CU_add_test(s, "a failed attempt is counted once", test_failures_counted_once);
+	CU_add_test(s, "a gang that is lost resumes from one checkpoint",
+		test_gang_resumes_from_one_checkpoint);
 	CU_add_test(s, "reported checkpoints are part of the progress to store",
 		test_checkpoints_stored);
 	CU_add_test(s, "a run that cannot end before its worker leaves is stopped",
--- a/tests/unit/workload-fixture.c
+++ b/tests/unit/workload-fixture.c
@@ -14,6 +14,8 @@
 
 		g_strlcpy(s.task, o->starts[i].task, sizeof(s.task));
 		g_strlcpy(s.node, node, sizeof(s.node));
+		if (o->starts[i].checkpoint != NULL)
+			g_strlcpy(s.checkpoint, o->starts[i].checkpoint, sizeof(s.checkpoint));
 		g_array_append_val(f->started, s);
 	}
 	g_strlcpy(f->last_start, o->starts[o->starts_len - 1].task, sizeof(f->last_start));
--- a/tests/unit/workload-fixture.h
+++ b/tests/unit/workload-fixture.h
@@ -15,6 +15,7 @@
 	char node[16];
 	uint32_t attempt;
 	uint64_t ordinal;
+	char checkpoint[32];
 };
 
 /* A scheduler core, a simulated store, and the orders that the core has sent. */
