core: the ends of a large gang are handled in linear time

A step counts its tasks that can be stopped, and nothing is gone through once there is none.

Evidence: the new unit test (suite cost, a gang that fails eight times) is ended by its alarm after 10 s on the code before; the whole suite takes 1 s now.

--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -206,7 +206,7 @@
 	t->attempt = MAX(t->attempt, m->attempt);
 	if (n == NULL || !n->awaiting_report || t->phase != TASK_WAITING)
 		return;
-	t->phase = TASK_UNCONFIRMED;
+	task_set_phase(t, TASK_UNCONFIRMED);
 	t->unconfirmed_node = n;
 	t->unit->waiting_count--;
 }
@@ -226,7 +226,7 @@
 		u->failed_attempt = m->failed_attempt;
 		for (uint32_t i = 0; i < u->step->count; i++) {
 			if (m->done && u->tasks[i].phase != TASK_DONE)
-				u->tasks[i].phase = TASK_DONE;
+				task_set_phase(&u->tasks[i], TASK_DONE);
 		}
 		if (m->checkpoint != NULL)
 			g_strlcpy(u->tasks[0].checkpoint, m->checkpoint,
@@ -249,7 +249,7 @@
 	if (m->node != NULL && !m->done)
 		mark_unconfirmed(&u->tasks[m->index], m);
 	if (m->done && u->tasks[m->index].phase != TASK_DONE) {
-		u->tasks[m->index].phase = TASK_DONE;
+		task_set_phase(&u->tasks[m->index], TASK_DONE);
 		u->done_count++;
 		u->waiting_count--;
 		u->is_done = u->done_count == u->step->count;
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -408,7 +408,7 @@
 
 		if (t != NULL && run_adoptable(t, run)) {
 			task_attach(t, n, run->attempt);
-			t->phase = TASK_STARTING;
+			task_set_phase(t, TASK_STARTING);
 			t->placed_at = now;
 			t->stop_sent = 0;
 			event_log(EV_TASK_RUN, "task=%s attempt=%u node=%s answer=adopted",
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -207,7 +207,7 @@
 		struct wl_task *t = p->task;
 
 		task_attach(t, p->node, u->step->gang ? attempt : next_attempt(w, t->attempt));
-		t->phase = TASK_PLACED;
+		task_set_phase(t, TASK_PLACED);
 		usage_add(w, p->node, &need);
 		t->placement_version = j->version + 1;
 		t->placed_at = now;
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -130,6 +130,7 @@
 	struct wl_task *tasks;
 	uint32_t done_count;	/* tasks that are done */
 	uint32_t waiting_count; /* tasks that are waiting to be placed */
+	uint32_t active_count;	/* tasks that are placed, starting or running */
 	/* Highest attempt number of any of its tasks. */
 	uint32_t attempt;
 	/* Gangs only: failed attempts of the whole gang, and the last one that was counted. */
@@ -383,6 +384,7 @@
 
 /* wl-run.c */
 char *task_checkpoint(struct wl_task *t);
+void task_set_phase(struct wl_task *t, enum wl_task_phase phase);
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt);
 void task_detach(struct wl_task *t, int64_t now, const char *why);
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *beneficiary);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -36,6 +36,21 @@
 	return t->unit->step->gang ? t->unit->tasks[0].checkpoint : t->checkpoint;
 }
 
+static bool phase_is_active(enum wl_task_phase phase)
+{
+	return phase == TASK_PLACED || phase == TASK_STARTING || phase == TASK_RUNNING;
+}
+
+/* Changes the phase of a task; wl_unit.waiting_count is the caller's to keep. */
+void task_set_phase(struct wl_task *t, enum wl_task_phase phase)
+{
+	if (phase_is_active(t->phase))
+		t->unit->active_count--;
+	if (phase_is_active(phase))
+		t->unit->active_count++;
+	t->phase = phase;
+}
+
 /* Assigns a task to a node, which allocates the task's resources there. */
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt)
 {
@@ -97,7 +112,7 @@
 	t->pace_percent = 100;
 	if (t->phase == TASK_DONE || t->phase == TASK_WAITING)
 		return;
-	t->phase = TASK_WAITING;
+	task_set_phase(t, TASK_WAITING);
 	t->unconfirmed_node = NULL;
 	t->waiting_since = now;
 	t->unit->waiting_count++;
@@ -135,7 +150,7 @@
 	t->unit->job->begun = true;
 	if (t->phase != TASK_STARTING)
 		return;
-	t->phase = TASK_RUNNING;
+	task_set_phase(t, TASK_RUNNING);
 	t->running_at = now;
 }
 
@@ -157,7 +172,7 @@
 				       t->phase == TASK_STOPPING))
 		return;
 	if (t->phase == TASK_STARTING || t->phase == TASK_RUNNING)
-		t->phase = TASK_STOPPING;
+		task_set_phase(t, TASK_STOPPING);
 	t->stop_sent = now;
 	name = task_name(t);
 	o = (struct wl_stop_order){.term = t->unit->job->wl->term,
@@ -197,9 +212,8 @@
 /* Stops the runs of a unit that are placed, starting or running. */
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *beneficiary)
 {
-	for (uint32_t i = 0; i < u->step->count; i++) {
-		if (u->tasks[i].phase == TASK_PLACED || u->tasks[i].phase == TASK_STARTING ||
-			u->tasks[i].phase == TASK_RUNNING)
+	for (uint32_t i = 0; i < u->step->count && u->active_count > 0; i++) {
+		if (phase_is_active(u->tasks[i].phase))
 			task_stop(&u->tasks[i], now, why, beneficiary);
 	}
 }
@@ -252,7 +266,7 @@
 		return;
 	if (t->phase == TASK_WAITING)
 		t->unit->waiting_count--;
-	t->phase = TASK_DONE;
+	task_set_phase(t, TASK_DONE);
 	t->unit->done_count++;
 }
 
@@ -327,7 +341,7 @@
 			.ordinal = ++j->wl->ordinal,
 			.task = task_name(t)};
 
-		t->phase = TASK_STARTING;
+		task_set_phase(t, TASK_STARTING);
 		t->ordinal = s.ordinal;
 		t->placed_at = now;
 		g_array_append_val(starts, s);
--- a/tests/unit/test-cost.c
+++ b/tests/unit/test-cost.c
@@ -119,8 +119,49 @@
 	fixture_clear(&f);
 }
 
+/* A gang of many members fails: each lists an end, worker after worker. */
+static void test_ends_of_large_gang(void)
+{
+	const struct wl_step gang = {.count = WL_TASKS_MAX,
+		.cores_m = 1,
+		.estimate_ms = 60000,
+		.gang = true,
+		.checkpoints = true};
+	struct wl_ended *ends = g_new0(struct wl_ended, gang.count);
+	struct fixture f;
+
+	fixture_init(&f);
+	report_idle_workers(&f, 0, 1);
+	submit_step(&f, BATCH_ID, "batch", &gang);
+	limit_time();
+	for (int round = 0; round < 8; round++) {
+		guint from = f.started->len;
+
+		run_pass(&f);
+		CU_ASSERT_EQUAL_FATAL(f.started->len - from, gang.count);
+		answer_starts(&f, from);
+		for (guint i = 0; i < gang.count; i++) {
+			struct started *s = &g_array_index(f.started, struct started, from + i);
+
+			ends[i] = (struct wl_ended){.number = from + i + 1,
+				.task = s->task,
+				.attempt = s->attempt,
+				.how = WL_END_BROKEN,
+				.checkpoint = (char *)"00aa"};
+		}
+		f.now += SEC;
+		report_worker(&f, "w0", NULL, 0, ends, gang.count);
+		g_ptr_array_set_size(f.dirty, 1);
+		store_dirty_jobs(&f);
+	}
+	alarm(0);
+	g_free(ends);
+	fixture_clear(&f);
+}
+
 void unit_cost(CU_pSuite s)
 {
+	CU_add_test(s, "a gang of many members fails", test_ends_of_large_gang);
 	CU_add_test(s, "a job of many tasks limits those on a worker",
 		test_limit_of_tasks_per_worker);
 	CU_add_test(s, "all tasks of a job start at once", test_starts_of_many_tasks);
