core: a takeover costs what the tasks of a node cost

When a node reported for the first time after a takeover, all tasks of all jobs were gone through for those that it might have been running.

Each node keeps a list of these tasks now.

--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -201,13 +201,14 @@
  */
 static void mark_unconfirmed(struct wl_task *t, const struct wl_mark *m)
 {
-	const struct wl_node *n = node_find(t->unit->job->wl, m->node);
+	struct wl_node *n = node_find(t->unit->job->wl, m->node);
 
 	t->attempt = MAX(t->attempt, m->attempt);
 	if (n == NULL || !n->awaiting_report || t->phase != TASK_WAITING)
 		return;
 	task_set_phase(t, TASK_UNCONFIRMED);
 	t->unconfirmed_node = n;
+	TAILQ_INSERT_TAIL(&n->unconfirmed, t, on_node);
 	t->unit->waiting_count--;
 }
 
@@ -398,14 +399,18 @@
 	return fields_encode(&wl_progress_fields, &p);
 }
 
-/* Frees a job; no node may refer to its tasks any more. */
+/* Frees a job; none of its tasks may be attached to a node any more. */
 static void job_free(struct wl_job *j)
 {
 	for (uint32_t k = 0; k < j->occurrences_len; k++) {
 		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
-			free(j->occurrences[k][s].tasks);
-			name_free(j->occurrences[k][s].label);
-			name_free(j->occurrences[k][s].data_rack);
+			struct wl_unit *u = &j->occurrences[k][s];
+
+			for (uint32_t i = 0; i < u->step->count; i++)
+				task_clear_unconfirmed(&u->tasks[i]);
+			free(u->tasks);
+			name_free(u->label);
+			name_free(u->data_rack);
 		}
 		free(j->occurrences[k]);
 	}
@@ -543,6 +548,10 @@
 
 	if (w == NULL)
 		return;
+	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
+		TAILQ_REMOVE(&w->list, j, entry);
+		job_free(j);
+	}
 	for (guint i = 0; i < w->nodes->len; i++) {
 		struct wl_node *n = w->nodes->pdata[i];
 
@@ -562,10 +571,6 @@
 	g_array_unref(w->usages);
 	g_array_unref(w->pending_failures);
 	g_hash_table_destroy(w->nodes_by_name);
-	while ((j = TAILQ_FIRST(&w->list)) != NULL) {
-		TAILQ_REMOVE(&w->list, j, entry);
-		job_free(j);
-	}
 	g_hash_table_destroy(w->jobs);
 	g_hash_table_destroy(w->demands);
 	if (w->run_stats != NULL)
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -70,6 +70,7 @@
 	n->orphans = g_ptr_array_new_with_free_func(orphan_free);
 	n->pending_ends = g_array_new(FALSE, FALSE, sizeof(struct wl_pending_end));
 	TAILQ_INIT(&n->tasks);
+	TAILQ_INIT(&n->unconfirmed);
 	g_ptr_array_add(w->nodes, n);
 	g_hash_table_insert(w->nodes_by_name, n->name, n);
 	return n;
@@ -93,13 +94,13 @@
  */
 static void node_release_unconfirmed(struct wl_node *n, int64_t now)
 {
-	struct wl_job *j;
+	struct wl_task *t;
 
 	if (!n->awaiting_report)
 		return;
 	n->awaiting_report = false;
-	TAILQ_FOREACH(j, &n->wl->list, entry)
-		job_release_unconfirmed(j, n, now);
+	while ((t = TAILQ_FIRST(&n->unconfirmed)) != NULL)
+		task_detach(t, now, "not reported after a takeover");
 }
 
 /*
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -74,8 +74,8 @@
 	 * stopped, and also after another attempt has completed the task.
 	 */
 	struct wl_node *node;
-	/* TASK_UNCONFIRMED: the node whose report is awaited. */
-	const struct wl_node *unconfirmed_node;
+	/* TASK_UNCONFIRMED: the node whose report is awaited, in whose list the task is. */
+	struct wl_node *unconfirmed_node;
 	/* TASK_PLACED: the job version that contains the placement. */
 	uint64_t placement_version;
 	int64_t placed_at;
@@ -117,8 +117,8 @@
 	 * other workers are preferred unless their own score is higher still.
 	 */
 	const struct wl_node *avoid_node;
-	bool victim; /* selected by the preemption that is being planned */
-	TAILQ_ENTRY(wl_task) on_node;
+	bool victim;		      /* selected by the preemption that is being planned */
+	TAILQ_ENTRY(wl_task) on_node; /* in wl_node.tasks or wl_node.unconfirmed */
 };
 
 /* One step of one occurrence of a job: the entity that is scheduled. */
@@ -310,6 +310,7 @@
 	int64_t reserved_from;
 	struct wl_available unreserved;
 	TAILQ_HEAD(, wl_task) tasks;
+	TAILQ_HEAD(, wl_task) unconfirmed; /* tasks that it may be running */
 };
 
 /* The usable workers of a service in this pass, and what is allocated on them. */
@@ -395,8 +396,7 @@
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *beneficiary);
 void job_stop_runs(struct wl_job *j, int64_t now, const char *why);
 void job_send_starts(struct wl_job *j, int64_t now);
-void task_release_unconfirmed(struct wl_task *t, int64_t now);
-void job_release_unconfirmed(struct wl_job *j, const struct wl_node *n, int64_t now);
+void task_clear_unconfirmed(struct wl_task *t);
 uint32_t next_attempt(const struct wl *w, uint32_t last);
 
 /* wl-name.c */
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -51,12 +51,21 @@
 	t->phase = phase;
 }
 
+/* Removes a task from the list of those that a node may be running. */
+void task_clear_unconfirmed(struct wl_task *t)
+{
+	if (t->unconfirmed_node == NULL)
+		return;
+	TAILQ_REMOVE(&t->unconfirmed_node->unconfirmed, t, on_node);
+	t->unconfirmed_node = NULL;
+}
+
 /* Assigns a task to a node, which allocates the task's resources there. */
 void task_attach(struct wl_task *t, struct wl_node *n, uint32_t attempt)
 {
 	if (t->phase == TASK_WAITING)
 		t->unit->waiting_count--;
-	t->unconfirmed_node = NULL;
+	task_clear_unconfirmed(t);
 	t->node = n;
 	t->attempt = attempt;
 	t->unit->attempt = MAX(t->unit->attempt, attempt);
@@ -96,6 +105,7 @@
 void task_detach(struct wl_task *t, int64_t now, const char *why)
 {
 	crash_task_detached(t);
+	task_clear_unconfirmed(t);
 	if (t->node != NULL)
 		TAILQ_REMOVE(&t->node->tasks, t, on_node);
 	t->released_why = why;
@@ -113,37 +123,11 @@
 	if (t->phase == TASK_DONE || t->phase == TASK_WAITING)
 		return;
 	task_set_phase(t, TASK_WAITING);
-	t->unconfirmed_node = NULL;
 	t->waiting_since = now;
 	t->unit->waiting_count++;
 	job_requeue_unstarted(t->unit->job);
 }
 
-/* Makes an unconfirmed task wait again, as it is known not to be running. */
-void task_release_unconfirmed(struct wl_task *t, int64_t now)
-{
-	if (t->phase == TASK_UNCONFIRMED)
-		task_detach(t, now, "not reported after a takeover");
-}
-
-/*
- * Releases the unconfirmed tasks of a job on a node, after the node has reported or its leases
- * have expired.
- */
-void job_release_unconfirmed(struct wl_job *j, const struct wl_node *n, int64_t now)
-{
-	for (uint32_t k = 0; k < j->occurrences_len; k++) {
-		for (uint32_t s = 0; s < j->spec.steps_len; s++) {
-			struct wl_unit *u = &j->occurrences[k][s];
-
-			for (uint32_t i = 0; i < u->step->count; i++) {
-				if (u->tasks[i].unconfirmed_node == n)
-					task_release_unconfirmed(&u->tasks[i], now);
-			}
-		}
-	}
-}
-
 /* Records that a worker has confirmed a run. */
 void task_confirm_running(struct wl_task *t, int64_t now)
 {
@@ -266,6 +250,7 @@
 		return;
 	if (t->phase == TASK_WAITING)
 		t->unit->waiting_count--;
+	task_clear_unconfirmed(t);
 	task_set_phase(t, TASK_DONE);
 	t->unit->done_count++;
 }
