agent: at most 32 orders to a worker are under way

An agent sent all starts of an order at once, each on a connection of its own: for 20,000 tasks 13,000 descriptors (the users' machines have 4,100), 293 MB (260) and a whole core; the term was lost twice within 14 s, in which 686 of the tasks started and a second job's task didn't end. The worker, called a thousand times at once, answered few starts within their 250 ms.

Starts and stops wait now while 32 are under way, stops first. A start that waits is known not to have run: it is refused if its stop comes first, or if the agent's authority has ended when it is to be sent. Pending starts are removed in constant time.

The stand-in's workers answer orders without their lists, as the users' workers do.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -20,6 +20,11 @@
  * idempotent. A stop that voids a start has no such limit.
  */
 #define ORDER_SENDS_MAX 3
+/*
+ * Orders that are under way at a time. A job may start thousands of tasks on a worker at once:
+ * each call takes a descriptor and memory, and an overloaded worker answers none in time.
+ */
+#define ORDERS_IN_FLIGHT_MAX 32
 /*
  * A start without an answer may still show up in the worker's lists; one that has not this
  * long after it was last sent is voided by a stop.
@@ -43,14 +48,40 @@
 	free(s);
 }
 
-void worker_drop_start(struct wl_worker *w, struct pending_start *s)
+static void pending_start_add(struct wl_worker *w, struct pending_start *s)
+{
+	s->position = w->pending_starts->len;
+	g_ptr_array_add(w->pending_starts, s);
+}
+
+/* Removes a pending start; while a call for it is under way, that call's end frees it. */
+static void drop_start(struct wl_worker *w, struct pending_start *s)
 {
+	struct pending_start *last = w->pending_starts->pdata[w->pending_starts->len - 1];
+
+	last->position = s->position;
+	g_ptr_array_remove_index_fast(w->pending_starts, s->position);
 	s->dropped = true;
-	g_ptr_array_remove(w->pending_starts, s);
 	if (!s->call_pending)
 		pending_start_free(s);
 }
 
+static void pending_stop_free(void *arg)
+{
+	struct pending_stop *s = arg;
+
+	free(s->task);
+	free(s);
+}
+
+void worker_drop_orders(struct wl_worker *w)
+{
+	g_queue_clear(&w->queued_starts);
+	g_queue_clear_full(&w->queued_stops, pending_stop_free);
+	while (w->pending_starts->len > 0)
+		drop_start(w, w->pending_starts->pdata[w->pending_starts->len - 1]);
+}
+
 /* Reports a start's outcome to the coordinator. */
 static void resolve_start(struct wl_worker *w, struct pending_start *s, enum wl_answer answer)
 {
@@ -62,7 +93,7 @@
 		.answer = answer};
 
 	w->events.answer(&note, w->events.arg);
-	worker_drop_start(w, s);
+	drop_start(w, s);
 }
 
 uint64_t worker_settled_ordinal(const struct wl_worker *w)
@@ -75,18 +106,35 @@
 	return least - 1;
 }
 
+/* Sends a call that carries an order; order_parse_reply has to follow. */
+static void order_send(struct wl_worker *w, struct http_call *c, struct pending_start *s,
+	void (*done)(struct http_call *call, void *arg))
+{
+	w->orders_in_flight++;
+	worker_send_call(w, c, s, done);
+}
+
 /* Decodes the answer to an order; order_call_free has to follow. */
 static void order_parse_reply(struct http_call *c, struct pf_reply *r)
 {
-	((struct worker_call *)c->arg)->worker->calls_pending--;
+	struct wl_worker *w = ((struct worker_call *)c->arg)->worker;
+
+	w->calls_pending--;
+	w->orders_in_flight--;
 	pf_reply_parse(c, r);
 }
 
+static void send_queued_orders(struct wl_worker *w);
+
+/* Frees the call of an order, and sends orders that waited for it. */
 static void order_call_free(struct http_call *c, struct pf_reply *r)
 {
+	struct wl_worker *w = ((struct worker_call *)c->arg)->worker;
+
 	free(c->arg);
 	pf_reply_clear(r);
 	http_call_free(c);
+	send_queued_orders(w);
 }
 
 /* Handles the answer to a stop that voids a start; if it failed, it is sent again later. */
@@ -139,9 +187,10 @@
 		} else if (s->deadline_ms > 0 && r->clock_ms > s->deadline_ms) {
 			/* Whatever arrives now is refused as late. */
 			resolve_start(w, s, s->refusal);
-		} else if (is_void_due(s, worker_now(w), requested_at)) {
+		} else if (w->orders_in_flight < ORDERS_IN_FLIGHT_MAX &&
+			   is_void_due(s, worker_now(w), requested_at)) {
 			s->call_pending = true;
-			worker_send_call(w,
+			order_send(w,
 				pf_worker_stop(w->p->settings.worker_addr, w->heartbeat.id,
 					worker_fence(w), s->task, s->attempt),
 				s, void_stop_done);
@@ -203,7 +252,7 @@
 	s->sends_used++;
 	s->deadline_ms = MAX(s->deadline_ms, deadline);
 	s->last_try_at = worker_now(w);
-	worker_send_call(w,
+	order_send(w,
 		pf_worker_start(w->p->settings.worker_addr, w->heartbeat.id, worker_fence(w),
 			deadline, s->payload, &start),
 		s, start_done);
@@ -282,12 +331,12 @@
 }
 
 /*
- * Starts tasks. Refuses the order if it is of another term or for another instance, and any
- * order while this agent has no authority or doesn't know the worker's clock.
+ * Starts tasks. Refuses the order if it is of another term or for another instance, and starts
+ * for which, when they are to be sent, this agent has no authority or doesn't know the worker's
+ * clock.
  */
 void wl_worker_start_tasks(struct wl_worker *w, const struct wl_start_order *o)
 {
-	int64_t deadline = worker_lease_deadline(w);
 	bool current = is_current(w, o->term, o->worker_instance);
 
 	for (uint32_t i = 0; i < o->starts_len; i++) {
@@ -303,13 +352,14 @@
 		s->checkpoint = xstrdup(o->starts[i].checkpoint);
 		s->ticket = xstrdup(o->starts[i].ticket);
 		s->refusal = WL_ANSWER_REFUSED_OTHER;
-		g_ptr_array_add(w->pending_starts, s);
+		pending_start_add(w, s);
 		w->last_start_ordinal = MAX(w->last_start_ordinal, s->ordinal);
-		if (!current || deadline == 0)
+		if (!current)
 			resolve_start(w, s, WL_ANSWER_REFUSED_OTHER);
 		else
-			start_send(w, s, deadline);
+			g_queue_push_tail(&w->queued_starts, s);
 	}
+	send_queued_orders(w);
 }
 
 /*
@@ -346,12 +396,15 @@
 	s->instance = xstrdup(o->worker_instance);
 	s->task = xstrdup(o->task);
 	s->attempt = o->attempt;
-	s->last_try_at = worker_now(w);
 	s->refusal = WL_ANSWER_REFUSED_OTHER;
 	s->outcome_unknown = true;
+	pending_start_add(w, s);
+	/* If it can't be sent now, the worker's next lists have it sent. */
+	if (w->orders_in_flight >= ORDERS_IN_FLIGHT_MAX)
+		return;
+	s->last_try_at = worker_now(w);
 	s->call_pending = true;
-	g_ptr_array_add(w->pending_starts, s);
-	worker_send_call(w,
+	order_send(w,
 		pf_worker_stop(w->p->settings.worker_addr, w->heartbeat.id, worker_fence(w),
 			o->task, o->attempt),
 		s, void_stop_done);
@@ -366,10 +419,32 @@
 
 	counter_add(&stops_total, 1);
 	s->send_count++;
-	worker_send_call(w, c, NULL, stop_done);
+	order_send(w, c, NULL, stop_done);
 	((struct worker_call *)c->arg)->stop = s;
 }
 
+/* Sends the orders that wait, stops first, as far as there may be more under way. */
+static void send_queued_orders(struct wl_worker *w)
+{
+	while (w->orders_in_flight < ORDERS_IN_FLIGHT_MAX && !w->freed) {
+		struct pending_stop *stop = g_queue_pop_head(&w->queued_stops);
+		int64_t deadline = worker_lease_deadline(w);
+		struct pending_start *s;
+
+		if (stop != NULL) {
+			stop_send(w, stop);
+			continue;
+		}
+		s = g_queue_pop_head(&w->queued_starts);
+		if (s == NULL)
+			return;
+		if (deadline == 0 || s->stop_ordered)
+			resolve_start(w, s, WL_ANSWER_REFUSED_OTHER);
+		else
+			start_send(w, s, deadline);
+	}
+}
+
 /* Sends the stop again if it has no answer; its effect shows in the worker's lists. */
 static void stop_done(struct http_call *c, void *arg)
 {
@@ -383,8 +458,7 @@
 		wc->fence == worker_fence(w) && !w->freed) {
 		stop_send(w, s);
 	} else {
-		free(s->task);
-		free(s);
+		pending_stop_free(s);
 	}
 	order_call_free(c, &r);
 }
@@ -411,7 +485,8 @@
 	s = xcalloc(1, sizeof(*s));
 	s->task = xstrdup(o->task);
 	s->attempt = o->attempt;
-	stop_send(w, s);
+	g_queue_push_tail(&w->queued_stops, s);
+	send_queued_orders(w);
 }
 
 /* Throttles a run to a percentage of its speed; 100 is full speed. */
--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -8,6 +8,7 @@
 /* A start order whose outcome is not known yet. */
 struct pending_start {
 	struct wl_worker *worker;
+	guint position; /* in wl_worker.pending_starts */
 	uint64_t ordinal;
 	uint64_t term;
 	char *instance;
@@ -83,6 +84,10 @@
 	uint64_t ends_listed; /* the worker has listed those up to this number */
 	bool ends_left;	      /* it may have more ends than its last answer has listed */
 	GPtrArray *pending_starts;
+	/* Orders that wait for others to be answered, and how many are under way. */
+	GQueue queued_starts;
+	GQueue queued_stops;
+	unsigned int orders_in_flight;
 	/*
 	 * The renewal: a single call that renews the leases, if they may be, and requests the
 	 * worker's lists of runs.
@@ -125,8 +130,8 @@
 int64_t worker_lease_deadline(const struct wl_worker *w);
 
 /* wl-worker-order.c: starts and stops until their outcome is known. */
-/* Removes a pending start; while a call for it is under way, that call's end frees it. */
-void worker_drop_start(struct wl_worker *w, struct pending_start *s);
+/* Drops all orders: their outcome is not reported, and those that wait are not sent. */
+void worker_drop_orders(struct wl_worker *w);
 /* The ordinal up to which the outcome of every start is known. */
 uint64_t worker_settled_ordinal(const struct wl_worker *w);
 /*
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -146,8 +146,7 @@
 	w->ends_stored = 0;
 	w->ends_listed = 0;
 	w->ends_left = false;
-	while (w->pending_starts->len > 0)
-		worker_drop_start(w, w->pending_starts->pdata[0]);
+	worker_drop_orders(w);
 }
 
 /*
@@ -276,7 +275,9 @@
  */
 static uint64_t ends_to_acknowledge(const struct wl_worker *w)
 {
-	if (!w->renewal_answered || (w->pending_starts->len > 0 && !w->ends_left))
+	bool starts_sent = w->pending_starts->len > w->queued_starts.length;
+
+	if (!w->renewal_answered || (starts_sent && !w->ends_left))
 		return 0;
 	return w->ends_stored;
 }
@@ -379,8 +380,7 @@
 		return;
 	w->term = term;
 	w->last_start_ordinal = 0;
-	while (w->pending_starts->len > 0)
-		worker_drop_start(w, w->pending_starts->pdata[0]);
+	worker_drop_orders(w);
 	renew_and_list(w);
 }
 
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -290,6 +290,13 @@
 		(json_int_t)w->instance_started_at, "running", running, "finished", finished);
 }
 
+/* The answer to a start or a stop. */
+static json_t *order_json(const struct worker *w)
+{
+	return json_pack("{s:I,s:I}", "clock_ms", (json_int_t)now_ms(), "born",
+		(json_int_t)w->instance_started_at);
+}
+
 /* Answers a call to a worker; a mute worker answers 500 without a body. */
 static void worker_reply(const struct worker *w, struct http_request *r, int status, json_t *o)
 {
@@ -907,7 +914,7 @@
 		return;
 	}
 	if (run_start(w, in))
-		worker_reply(w, q, 200, worker_json(w));
+		worker_reply(w, q, 200, order_json(w));
 	else
 		/* The reason is "old" whatever run_start refused the start for. */
 		worker_reply(w, q, 409,
@@ -963,7 +970,7 @@
 			if (strcmp(r->task, task) == 0)
 				r->stop_at_ms = now_ms() + STOP_DURATION_MS;
 		}
-		worker_reply(w, q, 200, worker_json(w));
+		worker_reply(w, q, 200, order_json(w));
 	} else {
 		/* Any other path, also /v1/pace, counts as a lease renewal, /v1/hold. */
 		struct pending_request *h = xcalloc(1, sizeof(*h));
