coordinator: a job whose progress is too large holds up no other

The review had doubted it: the record of a recurring job grows with each step done, and once the store refuses it as too large, each transaction with it is refused and repeated for ever.

A record that would be larger than the store takes (max_value_bytes of the settings) is written without the checkpoints of its tasks. If it is too large all the same, its job is given up: what is stored of an ended job is small. The transaction goes on without it.

Evidence: two unit tests (suite records). With the writer of before, the transaction holds a value of over 1 MiB; with the core of before, so does the record of 20,000 tasks with checkpoints of 48 bytes.

--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -45,7 +45,8 @@
 	struct record_events ev;
 	GHashTable *records;
 	struct node_keys *nodes;
-	GQueue queue; /* dirty records, oldest first */
+	GQueue queue;	      /* dirty records, oldest first */
+	GPtrArray *oversized; /* ids of jobs whose progress the store doesn't take */
 	bool commit_in_flight;
 	bool due; /* what is queued is written as soon as no transaction is in flight */
 	bool term_lost;
@@ -335,11 +336,27 @@
 	g_ptr_array_add(b->values, value);
 	if (value->data == NULL)
 		return;
+	/* A transaction with it would be refused, with all other changes in it. */
+	if (value->len > r->p->settings.value_max) {
+		g_ptr_array_add(r->oversized, g_strdup(rec->id));
+		return;
+	}
 	b->txn.expect[b->txn.expect_len++] = (struct kv_condition){key, rec->revision};
 	b->txn.write[b->txn.write_len++] = (struct kv_write){key, value->data, value->len, 0};
 	rec->in_flight = true;
 }
 
+/* Gives up the jobs whose progress is too large; what is stored of an ended job is small. */
+static void fail_oversized_jobs(struct record_writer *r)
+{
+	g_autoptr(GPtrArray) ids = g_steal_pointer(&r->oversized);
+
+	r->oversized = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < ids->len; i++)
+		wl_job_fail_oversized(r->scheduler, loop_now(r->p->loop),
+			clock_wall(loop_clock(r->p->loop)), ids->pdata[i]);
+}
+
 /*
  * Commits the pending changes, up to the size limit of a transaction, unless one is in flight
  * or a retry is scheduled. A record takes up to four entries: removing a job requires the
@@ -364,6 +381,8 @@
 	}
 	g_ptr_array_unref(b.keys);
 	g_ptr_array_unref(b.values);
+	if (r->oversized->len > 0)
+		fail_oversized_jobs(r);
 }
 
 /* Creates a writer whose transactions are conditional on the revision of the term. */
@@ -378,6 +397,7 @@
 	r->ev = *ev;
 	r->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
 	r->nodes = node_keys_new();
+	r->oversized = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&r->queue);
 	return r;
 }
@@ -397,6 +417,7 @@
 		return;
 	g_queue_clear(&r->queue);
 	g_hash_table_destroy(r->records);
+	g_ptr_array_unref(r->oversized);
 	node_keys_free(r->nodes);
 	free(r);
 }
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -473,7 +473,8 @@
 		/* After this time no run survives on an unreachable worker. */
 		.silence_max = AUTHORITY_MAX + s->lease_max +
 			       s->lease_max / SLOW_CLOCK_DIVISOR + RUN_LEASE_MARGIN,
-		.retention = s->ended_retention + RETENTION_MARGIN};
+		.retention = s->ended_retention + RETENTION_MARGIN,
+		.record_max = s->value_max};
 	const struct record_events records = {.confirmed = on_term_confirmed,
 		.stored = on_records_stored,
 		.replaced = on_job_replaced,
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -374,12 +374,21 @@
 	}
 }
 
+void wl_job_fail_oversized(struct wl *w, int64_t now, int64_t wall, const char *id)
+{
+	struct wl_job *j = wl_find_job(w, id);
+
+	if (j != NULL)
+		job_finish(j, now, wall, WL_FAILED, "its progress is too large for the store");
+}
+
 /* Encodes a job's progress for the store; empty if the job is unknown. */
 struct bytes wl_job_progress(struct wl *w, const char *id, uint64_t *version)
 {
 	struct wl_job *j = wl_find_job(w, id);
 	g_autoptr(GArray) marks = g_array_new(FALSE, FALSE, sizeof(struct wl_mark));
 	struct wl_progress p;
+	struct bytes out;
 
 	if (j == NULL)
 		return (struct bytes){0};
@@ -396,6 +405,14 @@
 	p.marks = (struct wl_mark *)marks->data;
 	p.marks_len = marks->len;
 	*version = j->version;
+	out = fields_encode(&wl_progress_fields, &p);
+	if (w->limits.record_max == 0 || out.len <= w->limits.record_max)
+		return out;
+	bytes_clear(&out);
+	for (uint32_t i = 0; i < p.marks_len; i++) {
+		if (p.marks[i].index != WL_INDEX_GANG)
+			p.marks[i].checkpoint = NULL;
+	}
 	return fields_encode(&wl_progress_fields, &p);
 }
 
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -407,6 +407,7 @@
 	int64_t silence_max;   /* no run survives on an unreachable worker after this */
 	int64_t reclaim_max; /* a unit within its guarantee starts within this, by preemption */
 	int64_t retention;   /* how long a job is kept after it ended */
+	size_t record_max;   /* bytes of a job's progress that the store takes; 0: any number */
 };
 
 /* Whether anything waits for a change to be stored. */
@@ -443,7 +444,15 @@
 bool wl_job_has(const struct wl *w, const char *id);
 /* Whether a job is known and has not ended. */
 bool wl_job_is_open(const struct wl *w, const char *id);
-/* Encodes the progress to store; version identifies it for wl_job_stored. */
+/*
+ * Gives up a job whose progress is larger than what the store takes, also without the
+ * checkpoints of its tasks: nothing of it could be stored any more.
+ */
+void wl_job_fail_oversized(struct wl *w, int64_t now, int64_t wall, const char *id);
+/*
+ * Encodes the progress to store; version identifies it for wl_job_stored. The checkpoints of
+ * tasks are left out where it would be larger than what the store takes.
+ */
 struct bytes wl_job_progress(struct wl *w, const char *id, uint64_t *version);
 void wl_job_stored(struct wl *w, int64_t now, const char *id, uint64_t version);
 /* Ids of ended jobs that can be removed after their retention; the array frees its strings. */
--- a/tests/unit/test-records.c
+++ b/tests/unit/test-records.c
@@ -66,8 +66,10 @@
 		t->expect[i] = xstrdup(txn->expect[i].key);
 		t->expect_revision[i] = txn->expect[i].revision;
 	}
-	for (size_t i = 0; i < txn->write_len; i++)
+	for (size_t i = 0; i < txn->write_len; i++) {
+		CU_ASSERT_TRUE(txn->write[i].len <= RECORD_MAX);
 		t->write[i] = xstrdup(txn->write[i].key);
+	}
 	for (size_t i = 0; i < txn->remove_len; i++)
 		t->remove[i] = xstrdup(txn->remove[i]);
 	s->sent = t;
@@ -240,6 +242,7 @@
 	s->loop = loop_new(&fake_clock);
 	s->process.loop = s->loop;
 	s->process.kv = (struct kv *)s;
+	s->process.settings.value_max = RECORD_MAX;
 	fixture_init(&s->scheduler);
 	s->records = record_writer_new(&s->process, s->scheduler.wl, TERM_REVISION, &ev);
 }
@@ -453,8 +456,92 @@
 	}
 }
 
+/* Adds a job with this many occurrences, of which all but the last are done. */
+static void add_recurring_job(struct fake_store *s, const char *id, uint32_t occurrences)
+{
+	struct wl_step step = {.count = 1, .cores_m = 1000};
+	const struct wl_spec spec = {.id = (char *)id,
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = &step,
+		.steps_len = 1,
+		.repetitions = occurrences};
+	g_autofree struct wl_mark *marks = g_new0(struct wl_mark, occurrences);
+	const struct wl_progress progress = {
+		.state = WL_RUNNING, .marks = marks, .marks_len = occurrences - 1};
+
+	for (uint32_t i = 0; i < progress.marks_len; i++)
+		marks[i] =
+			(struct wl_mark){.occurrence = i, .index = WL_INDEX_GANG, .done = true};
+	wl_job_add(s->scheduler.wl, s->now, s->now, &spec, &progress);
+}
+
+/*
+ * The progress of a recurring job has outgrown what the store takes: each transaction with it
+ * is refused and repeated, and no other job's placement or end is stored any more.
+ */
+static void test_oversized_progress(void)
+{
+	const char *const other = "00000000000000a2";
+	struct fake_store s;
+	struct bytes record;
+	uint64_t version;
+
+	store_init(&s);
+	add_recurring_job(&s, JOB_ID, WL_REPETITIONS_MAX);
+	add_recurring_job(&s, other, 2);
+	record_writer_mark_dirty(s.records, JOB_ID, WL_STORE_SOON);
+	record_writer_mark_dirty(s.records, other, WL_STORE_NOW);
+	store_settle(&s);
+	CU_ASSERT_NOT_EQUAL(key_revision(&s, "dp/state/00000000000000a2"), 0);
+	CU_ASSERT_FALSE(wl_job_is_open(s.scheduler.wl, JOB_ID));
+	CU_ASSERT_TRUE(wl_job_is_open(s.scheduler.wl, other));
+	/* Its end can be stored. */
+	record = wl_job_progress(s.scheduler.wl, JOB_ID, &version);
+	CU_ASSERT_TRUE(record.len > 0 && record.len <= RECORD_MAX);
+	bytes_clear(&record);
+	store_clear(&s);
+}
+
+/* Checkpoints are left out of a record that would be too large with them. */
+static void test_progress_without_checkpoints(void)
+{
+	const struct wl_step step = {.count = WL_TASKS_MAX, .cores_m = 1, .checkpoints = true};
+	const struct wl_spec spec = {.id = (char *)JOB_ID,
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.steps = (struct wl_step *)&step,
+		.steps_len = 1};
+	g_autofree struct wl_mark *marks = g_new0(struct wl_mark, step.count);
+	const struct wl_progress progress = {
+		.state = WL_RUNNING, .marks = marks, .marks_len = step.count};
+	struct wl_progress stored = {0};
+	struct fake_store s;
+	struct bytes record;
+	uint64_t version;
+
+	store_init(&s);
+	for (uint32_t i = 0; i < step.count; i++)
+		marks[i] = (struct wl_mark){.index = i,
+			.failures = 1,
+			.checkpoint =
+				(char *)"0123456789abcdef0123456789abcdef0123456789abcdef"};
+	wl_job_add(s.scheduler.wl, s.now, s.now, &spec, &progress);
+	record = wl_job_progress(s.scheduler.wl, JOB_ID, &version);
+	CU_ASSERT_TRUE(record.len <= RECORD_MAX);
+	CU_ASSERT_TRUE(
+		fields_decode(&wl_progress_fields, &stored, record.data, record.len, NULL));
+	CU_ASSERT_EQUAL(stored.marks_len, step.count);
+	fields_clear(&wl_progress_fields, &stored);
+	bytes_clear(&record);
+	store_clear(&s);
+}
+
 void unit_records(CU_pSuite s)
 {
+	CU_add_test(s, "job: its progress is too large for the store", test_oversized_progress);
+	CU_add_test(s, "job: its progress is too large with checkpoints",
+		test_progress_without_checkpoints);
 	CU_add_test(s, "node key: late removal, the node is back", test_node_key_late_removal);
 	CU_add_test(s, "node key: unanswered removal, the node is back",
 		test_node_key_unanswered_removal);
--- a/tests/unit/workload-fixture.c
+++ b/tests/unit/workload-fixture.c
@@ -97,7 +97,8 @@
 		.restore = 500 * MS, /* to resume from a checkpoint */
 		.silence_max = 10 * SEC,
 		.reclaim_max = 3 * SEC,
-		.retention = 100 * SEC};
+		.retention = 100 * SEC,
+		.record_max = RECORD_MAX};
 	const struct wl_callbacks out = {.start = on_start,
 		.stop = on_stop,
 		.pace = on_pace,
--- a/tests/unit/workload-fixture.h
+++ b/tests/unit/workload-fixture.h
@@ -8,6 +8,8 @@
 
 #define MS  NSEC_PER_MSEC
 #define SEC NSEC_PER_SEC
+/* Bytes of a record that the simulated store takes. */
+#define RECORD_MAX 1048576
 
 /* A start that the core has ordered. */
 struct started {
