agent: a start that is stopped before it is sent is a stale attempt

Such a start was answered as refused by the worker, for which the coordinator gives that worker nothing for half a second. It is answered as a stale attempt now, which concerns the task alone.

regress/platform/run-many-starts cancels a job while most of its starts wait, and holds that another job takes the workers within 5 s.

--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -438,7 +438,9 @@
 		s = g_queue_pop_head(&w->queued_starts);
 		if (s == NULL)
 			return;
-		if (deadline == 0 || s->stop_ordered)
+		if (s->stop_ordered)
+			resolve_start(w, s, WL_ANSWER_REFUSED_STALE_ATTEMPT);
+		else if (deadline == 0)
 			resolve_start(w, s, WL_ANSWER_REFUSED_OTHER);
 		else
 			start_send(w, s, deadline);
