--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -155,8 +155,7 @@
 	/* Completed runs that were timed, and the sum of the logarithms of their times. */
 	uint32_t timed_runs;
 	double log_time_sum;
-	/* Gangs only: work lost if it were preempted, and the time of the pass that computed
-	 * it. */
+	/* Gangs only: work lost by preempting it, and the time of the pass that computed it. */
 	double lost_work;
 	int64_t lost_work_at;
 	bool victim; /* gangs only: see wl_task.victim */
