--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -8,10 +8,10 @@
 # case, which was the working directory; the rule is checked from that.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
-cd "$case_dir/../.." || exit 2
+cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
 bin=target/release
 standin=target/standin-3/worker
-record=$case_dir/record.txt
+record=${RECORD:-$case_dir/record.txt}
 : >"$record"
 dir=$(mktemp -d)
 pids=()
