--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -101,7 +101,7 @@
 }
 start_all() {
 	printf '%s' "$config" >"$dir/config.json"
-	"$bin/standin-platform" "$net.1:8524" "$dir/config.json" >"$dir/store.log" 2>&1 9>&- &
+	"${store:-$bin/standin-platform}" "$net.1:8524" "$dir/config.json" >"$dir/store.log" 2>&1 9>&- &
 	pids+=($!)
 	sleep 0.3
 	write_settings entry "$net.10" frontend entry \
