--- a/review/standin-3/worker.c
+++ b/review/standin-3/worker.c
@@ -27,10 +27,10 @@
 #include <string.h>
 #include <unistd.h>
 
-#define TICK	    (10 * NSEC_PER_MSEC)
-#define LISTED_MAX  500
-#define STARTUP_MS  500 /* until a work item that lasts is at work */
-#define NO_ACK_MS   4000
+#define TICK	   (10 * NSEC_PER_MSEC)
+#define LISTED_MAX 500
+#define STARTUP_MS 500 /* until a work item that lasts is at work */
+#define NO_ACK_MS  4000
 
 struct run {
 	char *task;
@@ -185,8 +185,8 @@
 		const struct run *r = runs->pdata[i];
 		g_autofree char *saved = saved_of(r, false);
 
-		json_array_append_new(running, json_pack("[s,I,s,i,i]", r->task, r->attempt, saved,
-						       percent_of(r), 0));
+		json_array_append_new(running,
+			json_pack("[s,I,s,i,i]", r->task, r->attempt, saved, percent_of(r), 0));
 	}
 	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms", (json_int_t)clock_ms(), "born",
 		(json_int_t)born_unix_ms, "running", running, "finished", ends);
@@ -217,7 +217,8 @@
 	record_attempt(r->task, r->attempt);
 	json_array_append_new(finished,
 		json_pack("[I,s,I,s,s]", ++last_end, r->task, r->attempt, how, saved));
-	say("end task=%s attempt=%lld how=%s saved=%s", r->task, (long long)r->attempt, how, saved);
+	say("end task=%s attempt=%lld how=%s saved=%s", r->task, (long long)r->attempt, how,
+		saved);
 	g_ptr_array_remove_index(runs, i);
 }
 
@@ -239,8 +240,8 @@
 	const json_t *d = json_object_get(in, "deadline_ms");
 
 	if (json_is_integer(d))
-		lease_until = MAX(lease_until,
-			MIN(json_integer_value(d), clock_ms() + hold_max_ms));
+		lease_until =
+			MAX(lease_until, MIN(json_integer_value(d), clock_ms() + hold_max_ms));
 }
 
 static void handle_start(struct http_request *q, const json_t *in)
@@ -296,7 +297,8 @@
 		r->unreadable = !checkpoint_read(saved, &r->done_before_ms);
 	g_ptr_array_add(runs, r);
 	say("start task=%s attempt=%lld fence=%lld known=%d checkpoint=%s", task,
-		(long long)attempt, (long long)fence, !r->unreadable, saved != NULL ? saved : "");
+		(long long)attempt, (long long)fence, !r->unreadable,
+		saved != NULL ? saved : "");
 	reply_clock(q, 200, NULL);
 }
 
@@ -421,11 +423,12 @@
 
 	for (guint i = 0; names[i] != NULL; i++)
 		json_array_append_new(list, json_string(names[i]));
-	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I,s:I,s:{s:I,s:I,s:I},s:o}", "service",
-		service, "address", own_addr, "zone", zone, "version", "v1", "slots", 8, "state",
-		draining ? "draining" : "ready", "cold_remaining_ms", 0, "sequence", ++sequence,
-		"born", (json_int_t)born_unix_ms, "clock_ms", (json_int_t)clock_ms(), "capacity",
-		"cpu", cpu, "task_memory_mb", mem, "gpu", gpu, "labels", list);
+	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I,s:I,s:{s:I,s:I,s:I},s:o}",
+		"service", service, "address", own_addr, "zone", zone, "version", "v1", "slots",
+		8, "state", draining ? "draining" : "ready", "cold_remaining_ms", 0, "sequence",
+		++sequence, "born", (json_int_t)born_unix_ms, "clock_ms",
+		(json_int_t)clock_ms(), "capacity", "cpu", cpu, "task_memory_mb", mem, "gpu",
+		gpu, "labels", list);
 	if (draining)
 		json_object_set_new(o, "drain_remaining_ms",
 			json_integer(MAX(0, (drain_acked_ms != 0 ? drain_acked_ms : now_ms()) +
@@ -500,8 +503,9 @@
 	const struct {
 		const char *name;
 		int64_t *to;
-	} numbers[] = {{"stop_ms", &stop_ms}, {"save_ms", &save_ms}, {"restore_ms", &restore_ms},
-		{"drain_ms", &drain_ms}, {"hold_max_ms", &hold_max_ms}, {"beat_ms", &beat_ms}};
+	} numbers[] = {{"stop_ms", &stop_ms}, {"save_ms", &save_ms},
+		{"restore_ms", &restore_ms}, {"drain_ms", &drain_ms},
+		{"hold_max_ms", &hold_max_ms}, {"beat_ms", &beat_ms}};
 
 	if (name == NULL)
 		return;
@@ -525,10 +529,8 @@
 
 int main(int argc, char **argv)
 {
-	const struct http_limits limits = {.body_max = 1 << 20,
-		.connections_max = 64,
-		.idle_timeout_s = 60,
-		.threads = 1};
+	const struct http_limits limits = {
+		.body_max = 1 << 20, .connections_max = 64, .idle_timeout_s = 60, .threads = 1};
 
 	if (argc < 5) {
 		fprintf(stderr, "usage: worker ID APP CONTROL ZONE [NAME=VALUE ...]\n");
