A job id is its owner's: another caller's job under it is refused

The second one's submission is answered with 200, its job is never stored and never runs, and GET is answered with 410. On a second queue of one organisation the state of the first job is shown, completed in the end.

Cause: on_submit_stored took any conflict on dp/in/job/ID for a repeat, and each place that finds a job by its id compared organisations alone, or nothing.

Change: a job has an owner (organisation, queue, and the queue's address, which holds when the configuration renames or moves the queue). A taken id gets 200 only for the same owner and the same job, else 429 with Retry-After. GET, DELETE and early DELETE compare owners, the coordinator too; early cancellations have a key for each owner. A record that can't be read is no longer shown as 410. Records get the address as a new last field.

Ruled out: running both jobs. Workers know runs by ID.K.STEP.INDEX and reject attempts that aren't higher than an ended one of that name.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -26,20 +26,63 @@
 static void watch_inbox(struct wl_coord *c);
 static void list_inbox(struct wl_coord *c, const char *after);
 
+/* A cancellation whose job is not known yet. */
+struct pending_cancel {
+	char *key;
+	struct bytes value;
+};
+
+static void pending_cancel_free(void *arg)
+{
+	struct pending_cancel *p = arg;
+
+	free(p->key);
+	bytes_clear(&p->value);
+	free(p);
+}
+
+/* The id of the job that the key of a cancellation names; freed by the caller. */
+static char *cancelled_id(const char *key)
+{
+	return g_strndup(key + strlen(KEY_CANCEL), WL_ID_LEN);
+}
+
+/* Whether a cancellation is of the job with this owner; for its value see CANCEL_BY. */
+static bool cancels_job_of(
+	const char *key, const struct bytes *value, const struct wl_owner *owner)
+{
+	g_autofree char *text = g_strndup(value->data != NULL ? value->data : "", value->len);
+	struct wl_owner by = {0};
+	g_autoptr(GError) err = NULL;
+	bool same;
+
+	if (*text == '\0')
+		return true;
+	if (g_str_has_prefix(text, CANCEL_BY))
+		return strcmp(text + strlen(CANCEL_BY), owner->org ? owner->org : "") == 0;
+	if (!fields_decode(&wl_owner_fields, &by, value->data, value->len, &err)) {
+		event_log(EV_BAD_INPUT, "from=store what=\"%s: %s\"", key, err->message);
+		return false;
+	}
+	same = wl_owner_same(&by, owner);
+	fields_clear(&wl_owner_fields, &by);
+	return same;
+}
+
 /* Cancels a job that was just added if its cancellation was read before it. */
 static void cancel_if_pending(struct wl_coord *c, const struct wl_spec *spec, int64_t now)
 {
-	const char *value = g_hash_table_lookup(c->pending_cancels, spec->id);
-	bool ours;
+	const GPtrArray *cancels = g_hash_table_lookup(c->pending_cancels, spec->id);
+	const struct wl_owner owner = wl_spec_owner(spec);
 
-	if (value == NULL)
-		return;
-	ours = *value == '\0' ||
-	       (g_str_has_prefix(value, CANCEL_BY) &&
-		       strcmp(value + strlen(CANCEL_BY), spec->org ? spec->org : "") == 0);
+	for (guint i = 0; cancels != NULL && i < cancels->len; i++) {
+		const struct pending_cancel *p = cancels->pdata[i];
+
+		if (cancels_job_of(p->key, &p->value, &owner))
+			wl_job_cancel(c->scheduler, now, clock_wall(loop_clock(c->p->loop)),
+				spec->id);
+	}
 	g_hash_table_remove(c->pending_cancels, spec->id);
-	if (ours)
-		wl_job_cancel(c->scheduler, now, clock_wall(loop_clock(c->p->loop)), spec->id);
 }
 
 /* Adds a job that an entry has stored, with its progress if there is any. */
@@ -102,17 +145,64 @@
 	fields_clear(&wl_progress_fields, &p);
 }
 
-/* Cancels a job, or remembers the cancellation if its key was read before the job's. */
+/* The pending cancellation with a key, or NULL; at is its place among those of its id. */
+static struct pending_cancel *find_pending_cancel(
+	const struct wl_coord *c, const char *key, guint *at)
+{
+	g_autofree char *id = cancelled_id(key);
+	const GPtrArray *cancels = g_hash_table_lookup(c->pending_cancels, id);
+
+	for (*at = 0; cancels != NULL && *at < cancels->len; (*at)++) {
+		struct pending_cancel *p = cancels->pdata[*at];
+
+		if (strcmp(p->key, key) == 0)
+			return p;
+	}
+	return NULL;
+}
+
+/* Drops the cancellation of a job that is not known, after its key was removed. */
+static void forget_cancel(struct wl_coord *c, const char *key)
+{
+	g_autofree char *id = cancelled_id(key);
+	guint at;
+
+	if (find_pending_cancel(c, key, &at) == NULL)
+		return;
+	g_ptr_array_remove_index_fast(g_hash_table_lookup(c->pending_cancels, id), at);
+}
+
+/* Remembers a cancellation whose key was read before the job's. */
+static void remember_cancel(struct wl_coord *c, const struct kv_item *it)
+{
+	g_autofree char *id = cancelled_id(it->key);
+	GPtrArray *cancels = g_hash_table_lookup(c->pending_cancels, id);
+	struct pending_cancel *p = xcalloc(1, sizeof(*p));
+
+	if (cancels == NULL) {
+		cancels = g_ptr_array_new_with_free_func(pending_cancel_free);
+		g_hash_table_insert(c->pending_cancels, g_steal_pointer(&id), cancels);
+	}
+	forget_cancel(c, it->key);
+	p->key = xstrdup(it->key);
+	p->value = bytes_copy(it->value.data, it->value.len);
+	g_ptr_array_add(cancels, p);
+}
+
+/* Cancels a job if its owner asks for it, or remembers that for when the job is read. */
 static void read_cancel(struct wl_coord *c, const struct kv_item *it)
 {
-	const char *id = it->key + strlen(KEY_CANCEL);
+	g_autofree char *id = cancelled_id(it->key);
+	struct wl_owner owner;
 
-	if (wl_job_has(c->scheduler, id))
+	if (!wl_job_has(c->scheduler, id)) {
+		remember_cancel(c, it);
+		return;
+	}
+	owner = wl_job_owner(c->scheduler, id);
+	if (cancels_job_of(it->key, &it->value, &owner))
 		wl_job_cancel(c->scheduler, loop_now(c->p->loop),
 			clock_wall(loop_clock(c->p->loop)), id);
-	else
-		g_hash_table_replace(c->pending_cancels, g_strdup(id),
-			g_strndup(it->value.data ? it->value.data : "", it->value.len));
 }
 
 /* Dispatches an inbox item by its key. */
@@ -120,7 +210,7 @@
 {
 	if (it->deleted) {
 		if (g_str_has_prefix(it->key, KEY_CANCEL))
-			g_hash_table_remove(c->pending_cancels, it->key + strlen(KEY_CANCEL));
+			forget_cancel(c, it->key);
 		return;
 	}
 	if (g_str_has_prefix(it->key, KEY_JOB)) {
@@ -171,6 +261,8 @@
 		return;
 	case KV_NOT_FOUND:
 		c->watch_revision = 0;
+		/* The list tells of those that are still there. */
+		g_hash_table_remove_all(c->pending_cancels);
 		list_inbox(c, NULL);
 		return;
 	case KV_CONFLICT:
@@ -195,16 +287,17 @@
 /* Whether the coordinator does not know yet what is stored under a key of the inbox. */
 static bool key_is_news(const struct wl_coord *c, const char *key)
 {
-	const char *id;
+	g_autofree char *id = NULL;
+	guint at;
 
 	if (g_str_has_prefix(key, KEY_JOB))
 		return !wl_job_has(c->scheduler, key + strlen(KEY_JOB));
 	if (!g_str_has_prefix(key, KEY_CANCEL))
 		return false;
-	id = key + strlen(KEY_CANCEL);
+	id = cancelled_id(key);
 	if (wl_job_has(c->scheduler, id))
 		return wl_job_is_open(c->scheduler, id);
-	return !g_hash_table_contains(c->pending_cancels, id);
+	return find_pending_cancel(c, key, &at) == NULL;
 }
 
 static void on_note_timer(void *arg);
--- a/packages/daemon/wl-coord-private.h
+++ b/packages/daemon/wl-coord-private.h
@@ -59,7 +59,7 @@
 	int64_t watch_revision;
 	bool listing;
 	GHashTable *stored_progress; /* encoded progress by job id, for jobs not read yet */
-	/* Values of the cancellations of jobs that are not read yet, by the job's id. */
+	/* Arrays of the cancellations of jobs that are not read yet, by the job's id. */
 	GHashTable *pending_cancels;
 	GPtrArray *agents;
 	GHashTable *agents_by_node;
--- a/packages/daemon/wl-coord.c
+++ b/packages/daemon/wl-coord.c
@@ -518,7 +518,8 @@
 	c->agents_by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->stored_progress =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stored_progress_free);
-	c->pending_cancels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->pending_cancels = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	c->scheduler = wl_new(term, &limits, &out);
 	c->records = record_writer_new(p, c->scheduler, term_revision, &records);
 	c->feed = config_feed_new(p, CONFIG_PERIOD, on_config, c);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -36,8 +36,11 @@
 #define KEY_NODE	     "dp/node/" /* exists while the node may run tasks */
 
 /*
- * The value of a cancellation's key is empty, or this and the name of the organisation whose
- * job is cancelled if it is stored later.
+ * The cancellation of a stored job is KEY_CANCEL and the job's id; its value is this and the
+ * name of the job's organisation. That of a job that isn't stored yet has a dot and a hash of
+ * the owner behind the id, as several callers may cancel the same one, and its value is a
+ * wl_owner. Entries of earlier versions write KEY_CANCEL and the id for both, with this and the
+ * caller's organisation for a job that isn't stored, and else with an empty value.
  */
 #define CANCEL_BY "by "
 
@@ -124,6 +127,7 @@
 	char *id;
 	const char *queue; /* a copy, as the configuration may be replaced during the call */
 	char *org;
+	char *address;		 /* wl_queue_address */
 	int64_t config_revision; /* of the configuration by which the call was routed */
 	int64_t arrived;
 	int64_t deadline;
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -3,9 +3,12 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 COUNTER(accepted_total, "damaskpath_jobs_accepted_total", "Jobs accepted.");
 COUNTER(refused_total, "damaskpath_jobs_refused_total", "Submissions refused.");
+COUNTER(id_taken_total, "damaskpath_jobs_id_taken_total",
+	"Submissions refused because another job has the id.");
 COUNTER(outcome_unknown_total, "damaskpath_jobs_unsure_total",
 	"Submissions of which it is not known whether they were accepted.");
 HISTOGRAM(submit_seconds, "damaskpath_submit_seconds", "Time to answer a submission.");
@@ -52,6 +55,7 @@
 	free(c->api_key);
 	free(c->id);
 	free(c->org);
+	free(c->address);
 	free((char *)c->queue);
 	fields_clear(&wl_spec_fields, &c->spec);
 	free(c);
@@ -117,11 +121,22 @@
 {
 	free((char *)c->queue);
 	free(c->org);
+	free(c->address);
+	free(c->id);
 	c->queue = NULL;
 	c->org = NULL;
+	c->address = NULL;
+	c->id = NULL;
 	entry_call_route(c);
 }
 
+/* Who calls, as the owner of a job; the strings stay the call's. */
+static struct wl_owner call_owner(const struct entry_call *c)
+{
+	return (struct wl_owner){
+		.org = c->org, .queue = (char *)c->queue, .address = c->address};
+}
+
 /* Tells the coordinator of a key that was stored for a call. */
 static void note_stored(const struct entry_call *c, const char *prefix)
 {
@@ -131,40 +146,97 @@
 	wl_detour_note_stored(c->entry->p->detour, key);
 }
 
+/* What is stored under the id of a submission. */
+enum id_use {
+	ID_FREE,
+	ID_SAME_JOB,  /* this submission */
+	ID_OTHER_JOB, /* one of another owner, or another one of this caller's */
+	ID_UNREADABLE
+};
+
+/* What the conflict of a submission tells of its id. */
+static enum id_use read_id_use(const struct entry_call *c, const struct kv_result *r)
+{
+	for (size_t i = 0; i < r->items_len; i++) {
+		const struct kv_item *it = &r->items[i];
+		struct wl_spec stored = {0};
+		g_autoptr(GError) err = NULL;
+		bool same;
+
+		if (!g_str_has_prefix(it->key, KEY_JOB) || it->revision == 0)
+			continue;
+		if (!fields_decode(
+			    &wl_spec_fields, &stored, it->value.data, it->value.len, &err)) {
+			event_log(EV_BAD_INPUT, "from=store what=\"%s: %s\"", it->key,
+				err->message);
+			return ID_UNREADABLE;
+		}
+		same = wl_spec_same(&stored, &c->spec);
+		fields_clear(&wl_spec_fields, &stored);
+		return same ? ID_SAME_JOB : ID_OTHER_JOB;
+	}
+	return ID_FREE;
+}
+
+/*
+ * Refuses a submission whose id another job has: workers know runs by the id alone, so that two
+ * jobs can't share one. The id is free again once that job has ended and its record is removed.
+ */
+static void refuse_taken_id(struct entry_call *c)
+{
+	counter_add(&id_taken_total, 1);
+	entry_call_reply_error(c, 429,
+		(int)(c->entry->p->settings.ended_retention / NSEC_PER_SEC),
+		"another job has this id");
+}
+
+/* Answers a submission that is stored now, or was by an earlier call. */
+static void reply_accepted(struct entry_call *c, const char *reason)
+{
+	int64_t took = loop_now(c->entry->p->loop) - c->arrived;
+
+	event_log(EV_SUBMIT,
+		"job=%s queue=%s org=%s status=200 reason=%s config=%" PRId64
+		" took_ms=%" PRId64,
+		c->id, c->queue, c->org ? c->org : "-", reason, c->config_revision,
+		took / NSEC_PER_MSEC);
+	counter_add(&accepted_total, 1);
+	note_stored(c, KEY_JOB);
+	histogram_add(&submit_seconds, took);
+	reply(c, 200, NULL);
+}
+
 static void on_submit_stored(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
-	bool exists = false;
+	enum id_use use;
 	bool config_changed = false;
-	int64_t now = loop_now(c->entry->p->loop);
 
 	config_feed_apply_result(c->entry->feed, r);
 	for (size_t i = 0; i < r->items_len; i++) {
 		const struct kv_item *it = &r->items[i];
 
-		if (g_str_has_prefix(it->key, KEY_JOB) && it->revision > 0)
-			exists = true;
 		if (strcmp(it->key, PF_CONFIG_KEY) == 0)
 			config_changed = it->revision != c->config_revision;
 	}
 	switch (r->status) {
 	case KV_OK:
+		reply_accepted(c, "stored");
+		return;
 	case KV_CONFLICT:
-		if (r->status == KV_OK || (exists && !config_changed)) {
-			event_log(EV_SUBMIT,
-				"job=%s queue=%s org=%s status=200 reason=%s config=%" PRId64
-				" took_ms=%" PRId64,
-				c->id, c->queue, c->org ? c->org : "-",
-				r->status == KV_OK ? "stored" : "known", c->config_revision,
-				(now - c->arrived) / NSEC_PER_MSEC);
-			counter_add(&accepted_total, 1);
-			note_stored(c, KEY_JOB);
-			histogram_add(&submit_seconds, now - c->arrived);
-			reply(c, 200, NULL);
+		use = read_id_use(c, r);
+		if (use != ID_FREE && !config_changed) {
+			if (use == ID_SAME_JOB)
+				reply_accepted(c, "known");
+			else if (use == ID_OTHER_JOB)
+				refuse_taken_id(c);
+			else
+				entry_call_reply_error(c, 503, RETRY_AFTER_S,
+					"the job under this id can't be read");
 			return;
 		}
 		/* Earlier writes of this call required an older configuration too. */
-		if (!exists && config_changed)
+		if (use == ID_FREE && config_changed)
 			c->outcome_unknown = false;
 		c->tries++;
 		if (retries_exhausted(c))
@@ -200,8 +272,10 @@
  */
 static void store_job(struct entry_call *c)
 {
-	struct wl_progress progress = {
-		.state = WL_QUEUED, .queue = (char *)c->queue, .org = c->org};
+	struct wl_progress progress = {.state = WL_QUEUED,
+		.queue = (char *)c->queue,
+		.org = c->org,
+		.address = c->address};
 	struct bytes spec = fields_encode(&wl_spec_fields, &c->spec);
 	struct bytes progress_record = fields_encode(&wl_progress_fields, &progress);
 	AUTOFREE char *job_key = NULL;
@@ -229,42 +303,60 @@
 {
 	g_autoptr(GError) err = NULL;
 
+	free(c->spec.id);
+	c->spec.id = xstrdup(c->id);
 	if (c->spec.steps == NULL) {
-		c->spec.id = xstrdup(c->id);
 		if (!pf_job_parse(http_body(c->request), &c->spec, &err)) {
 			entry_call_reply_error(c, 400, 0, err->message);
 			return;
 		}
 		c->spec.accepted_ms = clock_wall(loop_clock(c->entry->p->loop)) / NSEC_PER_MSEC;
+	} else if (!wl_spec_check(&c->spec, &err)) {
+		entry_call_reply_error(c, 400, 0, err->message);
+		return;
 	}
 	free(c->spec.queue);
 	free(c->spec.service);
 	free(c->spec.org);
+	free(c->spec.address);
 	c->spec.queue = xstrdup(c->queue);
 	c->spec.service = xstrdup(q->service);
 	c->spec.org = xstrdup(c->org);
+	c->spec.address = xstrdup(c->address);
 	wl_queue_settings(q, &c->spec.settings);
 	store_job(c);
 }
 
-/* Decodes a job's progress; false if there is none or it is another organisation's. */
-static bool decode_visible_progress(
+/* What a caller may see of a job. */
+enum progress_view {
+	PROGRESS_VISIBLE,
+	PROGRESS_HIDDEN, /* there is no such job, or it is another owner's */
+	PROGRESS_UNREADABLE
+};
+
+/* Decodes the progress of a caller's job. */
+static enum progress_view decode_progress(
 	const struct entry_call *c, const struct kv_result *r, struct wl_progress *p)
 {
+	const struct wl_owner caller = call_owner(c);
+	struct wl_owner owner;
 	g_autoptr(GError) err = NULL;
 
-	if (r->status != KV_OK || r->items_len == 0)
-		return false;
+	if (r->status == KV_NOT_FOUND)
+		return PROGRESS_HIDDEN;
+	if (r->items_len == 0)
+		return PROGRESS_UNREADABLE;
 	if (!fields_decode(&wl_progress_fields, p, r->items[0].value.data,
 		    r->items[0].value.len, &err)) {
 		event_log(EV_BAD_INPUT, "from=store what=\"%s: %s\"", r->items[0].key,
 			err->message);
-		return false;
+		return PROGRESS_UNREADABLE;
 	}
-	if (g_strcmp0(p->org, c->org) == 0)
-		return true;
+	owner = wl_progress_owner(p);
+	if (wl_owner_same(&owner, &caller))
+		return PROGRESS_VISIBLE;
 	fields_clear(&wl_progress_fields, p);
-	return false;
+	return PROGRESS_HIDDEN;
 }
 
 static void on_state_read(const struct kv_result *r, void *arg)
@@ -279,10 +371,16 @@
 		return;
 	}
 	histogram_add(&state_seconds, loop_now(c->entry->p->loop) - c->arrived);
-	if (!decode_visible_progress(c, r, &p)) {
+	switch (decode_progress(c, r, &p)) {
+	case PROGRESS_VISIBLE:
+		break;
+	case PROGRESS_HIDDEN:
 		event_log(EV_QUERY, "job=%s status=410", c->id);
 		reply(c, 410, NULL);
 		return;
+	case PROGRESS_UNREADABLE:
+		entry_call_reply_error(c, 503, RETRY_AFTER_S, "the job can't be read");
+		return;
 	}
 	state = p.state;
 	fields_clear(&wl_progress_fields, &p);
@@ -311,14 +409,29 @@
 		cancel_job(c);
 }
 
+/* What follows KEY_CANCEL in the key of an early cancellation. */
+static char *early_cancel_name(const struct entry_call *c)
+{
+	const char *org = c->org != NULL ? c->org : "";
+	char *out;
+
+	xasprintf(&out, "%s.%016" PRIx64, c->id,
+		(uint64_t)XXH64(
+			c->queue, strlen(c->queue), XXH64(org, strlen(org), c->org != NULL)));
+	return out;
+}
+
 static void on_early_cancel_stored(const struct kv_result *r, void *arg)
 {
 	struct entry_call *c = arg;
+	AUTOFREE char *key = NULL;
+	AUTOFREE char *name = early_cancel_name(c);
 
 	config_feed_apply_result(c->entry->feed, r);
 	if (r->status == KV_OK) {
 		event_log(EV_CANCEL, "job=%s status=410", c->id);
-		note_stored(c, KEY_CANCEL);
+		xasprintf(&key, KEY_CANCEL "%s", name);
+		wl_detour_note_stored(c->entry->p->detour, key);
 		reply(c, 410, NULL);
 		return;
 	}
@@ -336,23 +449,24 @@
 
 /*
  * Stores the cancellation of a job that the store doesn't have, for a time: a submission
- * without an answer may be carried out after this. Its value tells the organisation, as another
- * one may use the same id.
+ * without an answer may be carried out after this.
  */
 static void store_early_cancel(struct entry_call *c)
 {
+	const struct wl_owner owner = call_owner(c);
+	struct bytes value = fields_encode(&wl_owner_fields, &owner);
 	struct kv_txn t = {.expect_len = 2, .write_len = 1};
+	AUTOFREE char *name = early_cancel_name(c);
 	AUTOFREE char *key = NULL;
 	AUTOFREE char *progress_key = NULL;
-	AUTOFREE char *caller = NULL;
 
-	xasprintf(&key, KEY_CANCEL "%s", c->id);
+	xasprintf(&key, KEY_CANCEL "%s", name);
 	xasprintf(&progress_key, KEY_PROGRESS "%s", c->id);
-	xasprintf(&caller, "%s%s", CANCEL_BY, c->org != NULL ? c->org : "");
 	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, c->config_revision};
 	t.expect[1] = (struct kv_condition){progress_key, 0};
-	t.write[0] = (struct kv_write){key, caller, strlen(caller), c->entry->cancel_lease};
+	t.write[0] = (struct kv_write){key, value.data, value.len, c->entry->cancel_lease};
 	kv_commit(c->entry->p->kv, &t, on_early_cancel_stored, c);
+	bytes_clear(&value);
 }
 
 static void on_cancel_lease_granted(const struct kv_result *r, void *arg)
@@ -386,6 +500,7 @@
 	struct entry_call *c = arg;
 	struct wl_progress p = {0};
 	AUTOFREE char *key = NULL;
+	AUTOFREE char *value = NULL;
 	struct kv_txn t = {.expect_len = 1, .write_len = 1};
 	uint32_t state;
 
@@ -402,12 +517,19 @@
 		begin_early_cancel(c);
 		return;
 	}
-	if (!decode_visible_progress(c, r, &p)) {
+	switch (decode_progress(c, r, &p)) {
+	case PROGRESS_VISIBLE:
+		break;
+	case PROGRESS_HIDDEN:
 		event_log(EV_CANCEL, "job=%s status=410", c->id);
 		reply(c, 410, NULL);
 		return;
+	case PROGRESS_UNREADABLE:
+		entry_call_reply_error(c, 503, RETRY_AFTER_S, "the job can't be read");
+		return;
 	}
 	state = p.state;
+	xasprintf(&value, "%s%s", CANCEL_BY, p.org != NULL ? p.org : "");
 	fields_clear(&wl_progress_fields, &p);
 	if (wl_state_ended(state)) {
 		event_log(EV_CANCEL, "job=%s status=200 state=%s", c->id, wl_state_name(state));
@@ -416,7 +538,7 @@
 	}
 	xasprintf(&key, KEY_CANCEL "%s", c->id);
 	t.expect[0] = (struct kv_condition){PF_CONFIG_KEY, c->config_revision};
-	t.write[0] = (struct kv_write){key, "", 0, 0};
+	t.write[0] = (struct kv_write){key, value, strlen(value), 0};
 	kv_commit(c->entry->p->kv, &t, on_cancel_stored, c);
 }
 
@@ -542,8 +664,13 @@
 	if (!authenticate(c, config, q))
 		return;
 	c->queue = xstrdup(q->name);
-	if (c->id == NULL)
-		c->id = g_ascii_strdown(rest, (gssize)strnlen(rest, WL_ID_LEN + 1));
+	c->address = wl_queue_address(q);
+	c->id = g_ascii_strdown(rest, -1);
+	if ((c->kind == PF_CALL_STATE || c->kind == PF_CALL_CANCEL) && !wl_id_valid(c->id)) {
+		event_log(EV_QUERY, "job=- status=410");
+		reply(c, 410, NULL);
+		return;
+	}
 	switch (c->kind) {
 	case PF_CALL_SUBMIT:
 		begin_submit(c, q);
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -20,6 +20,7 @@
  *   {"door":false}       the store answers 503 to calls on its second address
  *   {"deaf_watches":true} watches on the store tell of no change; what they answer at the end
  * of their time says that there was none
+ *   {"compact":true}     the store forgets its history: watches from before that get 410
  *   {"drop_answers":3}   the next 3 transactions that write a key are committed and answered
  *                        with 500; those that only remove keys are answered as usual
  *   {"late_txns":2}      the next 2 transactions that write a key are answered with 500 and
@@ -170,6 +171,7 @@
 static GPtrArray *pending_requests;
 static GPtrArray *workers;
 static int64_t revision = 1;
+static int64_t compacted_at; /* watches from an earlier revision get 410 */
 static int64_t next_lease = 100;
 static bool down;
 static int64_t down_since_ms;
@@ -268,6 +270,11 @@
 {
 	json_t *events = json_array();
 
+	if (w->after_revision < compacted_at) {
+		json_decref(events);
+		reply(w->request, 410, json_object());
+		return true;
+	}
 	for (guint i = 0;
 		!deaf_watches && i < history->len && json_array_size(events) < WATCH_EVENTS_MAX;
 		i++) {
@@ -741,6 +748,8 @@
 		set_down(json_is_true(json_object_get(in, "down")));
 	if (json_object_get(in, "door") != NULL)
 		second_addr_down = !json_is_true(json_object_get(in, "door"));
+	if (json_is_true(json_object_get(in, "compact")))
+		compacted_at = ++revision;
 	if (json_object_get(in, "drop_answers") != NULL)
 		txn_answers_to_drop = json_integer_value(json_object_get(in, "drop_answers"));
 	if (json_object_get(in, "config") != NULL)
--- a/packages/workload/wl-config.c
+++ b/packages/workload/wl-config.c
@@ -45,6 +45,16 @@
 		.approval = q->approval};
 }
 
+/* Returns where callers find a queue: its host, in lower case, and its prefix. */
+char *wl_queue_address(const struct wl_queue *q)
+{
+	g_autofree char *host = g_ascii_strdown(q->host, -1);
+	char *out;
+
+	xasprintf(&out, "%s%s", host, q->prefix);
+	return out;
+}
+
 /* Adds a queue and takes ownership of it. */
 void wl_config_add_queue(struct wl_config *c, struct wl_queue *q)
 {
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -18,6 +18,11 @@
 	return wl_find_job(w, id) != NULL;
 }
 
+struct wl_owner wl_job_owner(const struct wl *w, const char *id)
+{
+	return wl_spec_owner(&wl_find_job(w, id)->spec);
+}
+
 bool wl_job_is_open(const struct wl *w, const char *id)
 {
 	const struct wl_job *j = wl_find_job(w, id);
@@ -395,6 +400,7 @@
 	p = (struct wl_progress){.state = j->state,
 		.queue = j->spec.queue,
 		.org = j->spec.org,
+		.address = j->spec.address,
 		.ended_ms = j->ended_ms,
 		.settings = j->settings};
 	j->settings_unsaved = false;
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -55,6 +55,7 @@
 	I64(wl_spec, interval_ms),
 	I64(wl_spec, accepted_ms),
 	STRUCT(wl_spec, settings, wl_settings),
+	TEXT(wl_spec, address),
 };
 const struct field_table wl_spec_fields = TABLE(wl_spec);
 
@@ -81,9 +82,17 @@
 	I64(wl_progress, ended_ms),
 	LIST(wl_progress, marks, wl_mark),
 	STRUCT(wl_progress, settings, wl_settings),
+	TEXT(wl_progress, address),
 };
 const struct field_table wl_progress_fields = TABLE(wl_progress);
 
+static const struct field wl_owner_list[] = {
+	TEXT(wl_owner, org),
+	TEXT(wl_owner, queue),
+	TEXT(wl_owner, address),
+};
+const struct field_table wl_owner_fields = TABLE(wl_owner);
+
 static const struct field wl_run_list[] = {
 	TEXT(wl_run, task),
 	U32(wl_run, attempt),
--- a/packages/workload/wl-spec.c
+++ b/packages/workload/wl-spec.c
@@ -31,7 +31,7 @@
 }
 
 /* Whether an id is 16 hexadecimal digits. */
-static bool id_valid(const char *id)
+bool wl_id_valid(const char *id)
 {
 	return id != NULL && strlen(id) == WL_ID_LEN &&
 	       strspn(id, "0123456789abcdefABCDEF") == WL_ID_LEN;
@@ -78,7 +78,7 @@
 {
 	uint64_t tasks = 0;
 
-	if (!id_valid(s->id)) {
+	if (!wl_id_valid(s->id)) {
 		error_set(err, ERR_INVALID, "an id is 16 hexadecimal digits");
 		return false;
 	}
@@ -101,3 +101,53 @@
 	}
 	return true;
 }
+
+struct wl_owner wl_spec_owner(const struct wl_spec *s)
+{
+	return (struct wl_owner){.org = s->org, .queue = s->queue, .address = s->address};
+}
+
+struct wl_owner wl_progress_owner(const struct wl_progress *p)
+{
+	return (struct wl_owner){.org = p->org, .queue = p->queue, .address = p->address};
+}
+
+/*
+ * Whether two owners are the same. A queue stays the same one if the configuration changes
+ * either its name or its address. On an open queue an API key is optional, so that a missing
+ * organisation there stands for any.
+ */
+bool wl_owner_same(const struct wl_owner *a, const struct wl_owner *b)
+{
+	bool same_queue = g_strcmp0(a->queue, b->queue) == 0 ||
+			  (a->address != NULL && g_strcmp0(a->address, b->address) == 0);
+
+	return same_queue && (a->org == NULL || b->org == NULL || strcmp(a->org, b->org) == 0);
+}
+
+/* Encodes what the caller has written of a job. */
+static struct bytes encode_submitted(const struct wl_spec *s)
+{
+	const struct wl_spec submitted = {.payload = s->payload,
+		.steps = s->steps,
+		.steps_len = s->steps_len,
+		.repetitions = s->repetitions,
+		.start_at_ms = s->start_at_ms,
+		.interval_ms = s->interval_ms};
+
+	return fields_encode(&wl_spec_fields, &submitted);
+}
+
+bool wl_spec_same(const struct wl_spec *a, const struct wl_spec *b)
+{
+	const struct wl_owner owner_a = wl_spec_owner(a);
+	const struct wl_owner owner_b = wl_spec_owner(b);
+	struct bytes text_a = encode_submitted(a);
+	struct bytes text_b = encode_submitted(b);
+	bool same = wl_owner_same(&owner_a, &owner_b) && text_a.len == text_b.len &&
+		    memcmp(text_a.data, text_b.data, text_a.len) == 0;
+
+	bytes_clear(&text_a);
+	bytes_clear(&text_b);
+	return same;
+}
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -69,6 +69,19 @@
 	bool approval;
 };
 
+/*
+ * Whose a job is. Callers choose ids, and different callers may choose the same: an id names a
+ * job only together with its owner.
+ */
+struct wl_owner {
+	char *org; /* NULL: accepted, or asked for, on an open queue without an API key */
+	char *queue;
+	/* wl_queue_address of the queue, as it may get another name; NULL if not known. */
+	char *address;
+};
+extern const struct field_table wl_owner_fields;
+bool wl_owner_same(const struct wl_owner *a, const struct wl_owner *b);
+
 /* A job as submitted; immutable once accepted. */
 struct wl_spec {
 	char *id;
@@ -84,6 +97,7 @@
 	int64_t interval_ms;
 	int64_t accepted_ms;	     /* wall clock of the entry process that accepted it */
 	struct wl_settings settings; /* as accepted; not in jobs of earlier versions */
+	char *address;		     /* see wl_owner; not in jobs of earlier versions */
 };
 
 enum wl_state {
@@ -125,10 +139,17 @@
 	uint32_t marks_len;
 	/* As last known; not known in new records and in those of earlier versions. */
 	struct wl_settings settings;
+	char *address; /* see wl_owner; not in records of earlier versions */
 };
 extern const struct field_table wl_spec_fields;
 extern const struct field_table wl_progress_fields;
 bool wl_spec_check(const struct wl_spec *s, GError **err);
+bool wl_id_valid(const char *id);
+/* The owner of a job; the strings stay the job's. */
+struct wl_owner wl_spec_owner(const struct wl_spec *s);
+struct wl_owner wl_progress_owner(const struct wl_progress *p);
+/* Whether two submissions under one id are the same one, sent again. */
+bool wl_spec_same(const struct wl_spec *a, const struct wl_spec *b);
 
 /* A queue: routing, priority and objectives of the jobs submitted to it. */
 struct wl_queue {
@@ -151,6 +172,7 @@
 	bool approval;
 };
 void wl_queue_settings(const struct wl_queue *q, struct wl_settings *out);
+char *wl_queue_address(const struct wl_queue *q);
 /* An organisation with its API keys. */
 struct wl_org {
 	char *name;
@@ -460,6 +482,8 @@
 	const struct wl_progress *p);
 void wl_job_cancel(struct wl *w, int64_t now, int64_t wall, const char *id);
 bool wl_job_has(const struct wl *w, const char *id);
+/* The owner of a job, which must be known; the strings stay the job's. */
+struct wl_owner wl_job_owner(const struct wl *w, const char *id);
 /* Whether a job is known and has not ended. */
 bool wl_job_is_open(const struct wl *w, const char *id);
 /*
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -17,5 +17,6 @@
 void unit_records(CU_pSuite s);
 void unit_cost(CU_pSuite s);
 void unit_crash(CU_pSuite s);
+void unit_owner(CU_pSuite s);
 
 #endif
