A removed job is not read again from an answer that was under way

The coordinator knows the job no more, so it adds it as new, without progress, and runs it again (TWICE).

The record writer remembers for a minute at which revision a job was removed; a job's key of that revision or an earlier one isn't read. A job that was accepted under the id since has a higher one.

Test: unit "job: a page read before its removal" (the function is new, so it can't run on the code before). Not seen with real processes.

--- a/packages/daemon/wl-coord-inbox.c
+++ b/packages/daemon/wl-coord-inbox.c
@@ -97,7 +97,8 @@
 	const char *id = it->key + strlen(KEY_JOB);
 	uint64_t tasks = 0;
 
-	if (wl_job_has(c->scheduler, id))
+	if (wl_job_has(c->scheduler, id) ||
+		record_writer_was_removed(c->records, id, it->revision))
 		return;
 	if (!fields_decode(&wl_spec_fields, &spec, it->value.data, it->value.len, &err) ||
 		!wl_spec_check(&spec, &err) || strcmp(spec.id, id) != 0) {
--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -18,6 +18,9 @@
  */
 #define BATCH_DELAY (50 * NSEC_PER_MSEC)
 
+/* Answers of the store that were sent before a removal arrive within this. */
+#define REMOVED_KEEP (60 * NSEC_PER_SEC)
+
 HISTOGRAM(record_seconds, "damaskpath_record_seconds",
 	"Time from a change of a job's progress until it is stored.");
 
@@ -38,12 +41,21 @@
 	uint64_t version; /* of the progress that this transaction writes */
 };
 
+/* A job that was removed from the store lately. */
+struct removed_job {
+	char *id;
+	int64_t revision; /* its records had at most this one */
+	int64_t at;
+};
+
 struct record_writer {
 	struct wl_process *p;
 	struct wl *scheduler;
 	int64_t term_revision;
 	struct record_events ev;
 	GHashTable *records;
+	GQueue removed; /* removed_jobs, oldest first */
+	GHashTable *removed_by_id;
 	struct node_keys *nodes;
 	GQueue queue;	      /* dirty records, oldest first */
 	GPtrArray *oversized; /* ids of jobs whose progress the store doesn't take */
@@ -169,9 +181,44 @@
 	flush_now(r);
 }
 
+static void removed_job_free(void *arg)
+{
+	struct removed_job *j = arg;
+
+	free(j->id);
+	free(j);
+}
+
+/* Remembers that a job was removed whose records had at most a revision. */
+static void note_removed(struct record_writer *r, const char *id, int64_t revision)
+{
+	struct removed_job *j = xcalloc(1, sizeof(*j));
+	struct removed_job *oldest;
+
+	j->id = xstrdup(id);
+	j->revision = revision;
+	j->at = loop_now(r->p->loop);
+	while ((oldest = g_queue_peek_head(&r->removed)) != NULL &&
+		j->at - oldest->at > REMOVED_KEEP) {
+		if (g_hash_table_lookup(r->removed_by_id, oldest->id) == oldest)
+			g_hash_table_remove(r->removed_by_id, oldest->id);
+		removed_job_free(g_queue_pop_head(&r->removed));
+	}
+	g_queue_push_tail(&r->removed, j);
+	g_hash_table_replace(r->removed_by_id, j->id, j);
+}
+
+bool record_writer_was_removed(const struct record_writer *r, const char *id, int64_t revision)
+{
+	const struct removed_job *j = g_hash_table_lookup(r->removed_by_id, id);
+
+	return j != NULL && revision <= j->revision;
+}
+
 /* Drops a record whose job is not in the store any more. */
 static void record_removed(struct record_writer *r, struct record *rec)
 {
+	note_removed(r, rec->id, rec->expected);
 	wl_job_forget(r->scheduler, rec->id);
 	if (!rec->dirty)
 		g_hash_table_remove(r->records, rec->id);
@@ -397,6 +444,8 @@
 	r->ev = *ev;
 	r->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
 	r->nodes = node_keys_new();
+	g_queue_init(&r->removed);
+	r->removed_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	r->oversized = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&r->queue);
 	return r;
@@ -417,6 +466,8 @@
 		return;
 	g_queue_clear(&r->queue);
 	g_hash_table_destroy(r->records);
+	g_hash_table_destroy(r->removed_by_id);
+	g_queue_clear_full(&r->removed, removed_job_free);
 	g_ptr_array_unref(r->oversized);
 	node_keys_free(r->nodes);
 	free(r);
--- a/packages/daemon/wl-daemon.h
+++ b/packages/daemon/wl-daemon.h
@@ -198,6 +198,11 @@
 /* Notes a revision in the store that the job's progress record has at least. */
 void record_writer_note_revision(struct record_writer *r, const char *id, int64_t revision);
 void record_writer_remove_job(struct record_writer *r, const char *id);
+/*
+ * Whether a job's key, as read at a revision, is of a job that was removed since: an answer of
+ * the store may have been under way for as long as a call takes.
+ */
+bool record_writer_was_removed(const struct record_writer *r, const char *id, int64_t revision);
 void record_writer_set_node(struct record_writer *r, const char *node, bool present);
 /* Whether a node's key is in the store, and no write that may remove it is left. */
 bool record_writer_has_node(const struct record_writer *r, const char *node);
--- a/tests/unit/test-records.c
+++ b/tests/unit/test-records.c
@@ -416,6 +416,28 @@
 	record_writer_remove_job(s->records, JOB_ID);
 }
 
+/*
+ * Guards against a removed job that runs again: a page of the inbox that was read before the
+ * removal arrives after it.
+ */
+static void test_job_read_before_removal(void)
+{
+	struct fake_store s;
+	int64_t revision;
+
+	store_init(&s);
+	remove_job(&s);
+	revision = s.revision;
+	CU_ASSERT_FALSE(record_writer_was_removed(s.records, JOB_ID, revision));
+	store_end_call(&s, LOST);
+	pass_time(&s);
+	store_settle(&s);
+	CU_ASSERT_TRUE(record_writer_was_removed(s.records, JOB_ID, revision));
+	accept_job(&s);
+	CU_ASSERT_FALSE(record_writer_was_removed(s.records, JOB_ID, s.revision));
+	store_clear(&s);
+}
+
 /*
  * An ended job is removed by a write that is carried out after another job was accepted under
  * its id: the accepted job is gone from the store.
@@ -549,6 +571,7 @@
 		test_node_key_removal_in_flight);
 	CU_add_test(
 		s, "node keys: random order of lost and late writes", test_node_keys_random);
+	CU_add_test(s, "job: a page read before its removal", test_job_read_before_removal);
 	CU_add_test(s, "job: late removal, the id is used again", test_job_late_removal);
 	CU_add_test(s, "job: unanswered removal, the id is used again",
 		test_job_unanswered_removal);
