Ends of an earlier job with the same id don't count for the new one

What callers would see: an id is used again after its job has ended and was removed.

Cause: workers know runs by ID.K.STEP.INDEX and attempt, and each job's attempts begin at 1 in a term; wl_run_ended counts an end of any attempt.

Change: the core remembers the last attempts of the jobs that it forgets, up to 4,096 of them. A new job's attempts begin above, and in a later term above those of earlier terms anyway; the first one is stored with the job's progress, and runs and ends with a lower number are not the job's.

Evidence: unit "an id is used again after its job is removed" on the code before (the two checks reverted): the job is closed, started once, last attempt 1. After: it stays open and is started as attempt 2.

--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -7,6 +7,9 @@
 #define FALLBACK_ATTEMPTS 3
 #define FALLBACK_STRETCH  3.0
 
+/* How many removed jobs are remembered with their last attempts. */
+#define FORGOTTEN_JOBS_MAX 4096
+
 /* Returns the job with an id, or NULL. */
 struct wl_job *wl_find_job(const struct wl *w, const char *id)
 {
@@ -94,10 +97,12 @@
 		name_set(&u->data_rack, u->step->data_rack);
 		u->waiting_count = u->step->count;
 		u->ready_at = u->step->after_len == 0 ? now : 0;
+		u->attempt = j->first_attempt - 1;
 		u->tasks = xcalloc(u->step->count, sizeof(*u->tasks));
 		for (uint32_t i = 0; i < u->step->count; i++) {
 			u->tasks[i].unit = u;
 			u->tasks[i].index = i;
+			u->tasks[i].attempt = j->first_attempt - 1;
 			u->tasks[i].pace_percent = 100;
 			u->tasks[i].waiting_since = now;
 		}
@@ -262,6 +267,28 @@
 	}
 }
 
+/* Whether a job was placed before, by an earlier coordinator. */
+static bool was_placed(const struct wl_progress *p)
+{
+	return p != NULL && (p->first_attempt > 0 || p->marks_len > 0 || p->state != WL_QUEUED);
+}
+
+/*
+ * Numbers the attempts of a job from above those of an earlier job with the same id: workers
+ * know runs by the id alone. Earlier terms had lower numbers.
+ */
+static void number_attempts(struct wl_job *j, const struct wl_progress *p)
+{
+	const struct wl_forgotten_job *earlier =
+		g_hash_table_lookup(j->wl->forgotten_by_id, j->spec.id);
+
+	if (was_placed(p))
+		j->first_attempt = MAX(p->first_attempt, 1);
+	else
+		j->first_attempt =
+			next_attempt(j->wl, earlier != NULL ? earlier->last_attempt : 0);
+}
+
 /* Adds a new job, or a stored one with its progress. A job that is already known is ignored. */
 void wl_job_add(struct wl *w, int64_t now, int64_t wall, const struct wl_spec *spec,
 	const struct wl_progress *p)
@@ -280,6 +307,7 @@
 	j->settings = p != NULL && p->settings.attempts_max > 0 ? p->settings : spec->settings;
 	apply_settings(j);
 	job_update_settings(j);
+	number_attempts(j, p);
 	g_hash_table_insert(w->jobs, j->spec.id, j);
 	TAILQ_INSERT_TAIL(&w->list, j, entry);
 	headroom_record_job(w, j, now);
@@ -401,6 +429,7 @@
 		.queue = j->spec.queue,
 		.org = j->spec.org,
 		.address = j->spec.address,
+		.first_attempt = j->first_attempt,
 		.ended_ms = j->ended_ms,
 		.settings = j->settings};
 	j->settings_unsaved = false;
@@ -474,6 +503,36 @@
 	return out;
 }
 
+static void forgotten_job_free(void *arg)
+{
+	struct wl_forgotten_job *f = arg;
+
+	free(f->id);
+	free(f);
+}
+
+/* Remembers the highest attempt of a job that is being removed. */
+static void remember_attempts(struct wl_job *j)
+{
+	struct wl_forgotten_job *f = xcalloc(1, sizeof(*f));
+	struct wl *w = j->wl;
+
+	f->id = xstrdup(j->spec.id);
+	f->last_attempt = j->first_attempt;
+	for (uint32_t k = 0; k < j->occurrences_len; k++) {
+		for (uint32_t s = 0; s < j->spec.steps_len; s++)
+			f->last_attempt = MAX(f->last_attempt, j->occurrences[k][s].attempt);
+	}
+	g_queue_push_tail(&w->forgotten, f);
+	g_hash_table_replace(w->forgotten_by_id, f->id, f);
+	if (w->forgotten.length <= FORGOTTEN_JOBS_MAX)
+		return;
+	f = g_queue_pop_head(&w->forgotten);
+	if (g_hash_table_lookup(w->forgotten_by_id, f->id) == f)
+		g_hash_table_remove(w->forgotten_by_id, f->id);
+	forgotten_job_free(f);
+}
+
 /*
  * Removes a job; does nothing while it has runs. The caller must know that the job has ended,
  * as this is not checked.
@@ -495,6 +554,7 @@
 				e->job = NULL;
 		}
 	}
+	remember_attempts(j);
 	g_hash_table_remove(w->jobs, id);
 	TAILQ_REMOVE(&w->list, j, entry);
 	job_free(j);
@@ -552,6 +612,8 @@
 	w->limits = *limits;
 	w->callbacks = *out;
 	w->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&w->forgotten);
+	w->forgotten_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	w->nodes = g_ptr_array_new();
 	w->nodes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	w->unacked_nodes = g_ptr_array_new();
@@ -600,6 +662,8 @@
 	g_array_unref(w->pending_failures);
 	g_hash_table_destroy(w->nodes_by_name);
 	g_hash_table_destroy(w->jobs);
+	g_hash_table_destroy(w->forgotten_by_id);
+	g_queue_clear_full(&w->forgotten, forgotten_job_free);
 	g_hash_table_destroy(w->demands);
 	if (w->run_stats != NULL)
 		g_hash_table_destroy(w->run_stats);
--- a/packages/workload/wl-message.c
+++ b/packages/workload/wl-message.c
@@ -83,6 +83,7 @@
 	LIST(wl_progress, marks, wl_mark),
 	STRUCT(wl_progress, settings, wl_settings),
 	TEXT(wl_progress, address),
+	U32(wl_progress, first_attempt),
 };
 const struct field_table wl_progress_fields = TABLE(wl_progress);
 
--- a/packages/workload/wl-node.c
+++ b/packages/workload/wl-node.c
@@ -340,6 +340,7 @@
 static bool run_adoptable(const struct wl_task *t, const struct wl_run *r)
 {
 	if (t->node != NULL || r->attempt < t->attempt ||
+		r->attempt < t->unit->job->first_attempt ||
 		(t->phase != TASK_WAITING && t->phase != TASK_UNCONFIRMED))
 		return false;
 	if (wl_state_ended(t->unit->job->state))
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -233,7 +233,8 @@
 	uint32_t occurrences_len;
 	uint32_t occurrences_done; /* the first of them that are done */
 	uint64_t version;
-	uint64_t stored; /* last version known to be stored */
+	uint64_t stored;	/* last version known to be stored */
+	uint32_t first_attempt; /* see wl_progress.first_attempt; 1 if it isn't known */
 	/* Some tasks have a newer checkpoint than the store. */
 	bool checkpoints_unsaved;
 	/* When a pass last requested that new checkpoints be stored. */
@@ -261,6 +262,12 @@
 	TAILQ_ENTRY(wl_job) entry;
 };
 
+/* A job that was removed; workers may still list ended runs of it. */
+struct wl_forgotten_job {
+	char *id;
+	uint32_t last_attempt;
+};
+
 /* What the unfinished urgent jobs of an organisation request, in accelerators. */
 struct wl_org_demand {
 	char *org;
@@ -400,6 +407,9 @@
 	const struct wl_config *config;
 	GHashTable *jobs;
 	TAILQ_HEAD(, wl_job) list;
+	/* The last attempts of jobs that are forgotten, of struct wl_forgotten_job. */
+	GQueue forgotten;
+	GHashTable *forgotten_by_id;
 	GPtrArray *nodes;
 	GHashTable *nodes_by_name;
 	GPtrArray *unacked_nodes;
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -394,6 +394,9 @@
 
 	event_log(EV_TASK_END, "task=%s attempt=%u node=%s how=%s saved=%s", e->task,
 		e->attempt, n->name, wl_end_name(e->how), e->checkpoint ? e->checkpoint : "");
+	/* An earlier job with the same id had the run. */
+	if (t != NULL && e->attempt < t->unit->job->first_attempt)
+		return;
 	if (t == NULL || wl_state_ended(t->unit->job->state)) {
 		if (t != NULL && t->node == n && t->attempt == e->attempt)
 			task_detach(t, now, "ended");
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -140,6 +140,11 @@
 	/* As last known; not known in new records and in those of earlier versions. */
 	struct wl_settings settings;
 	char *address; /* see wl_owner; not in records of earlier versions */
+	/*
+	 * The job's attempts have at least this number: lower ones are of an earlier job with
+	 * the same id. 0: none was placed yet, or an earlier version placed them.
+	 */
+	uint32_t first_attempt;
 };
 extern const struct field_table wl_spec_fields;
 extern const struct field_table wl_progress_fields;
--- a/tests/unit/test-owner.c
+++ b/tests/unit/test-owner.c
@@ -41,17 +41,15 @@
 	}
 }
 
-/* Encodes a struct as the version did whose table lacked the last field, which must be NULL. */
-static struct bytes encode_earlier(const struct field_table *t, const void *s)
+/* The fields of a table as far as the one at an offset, with which a later version began. */
+static struct field_table fields_before(const struct field_table *t, size_t offset)
 {
-	struct bytes b = fields_encode(t, s);
-	uint8_t *data = (uint8_t *)b.data;
+	struct field_table earlier = *t;
 
-	CU_ASSERT_EQUAL(data[0] & 0xf0, 0x90);
-	CU_ASSERT_EQUAL(data[b.len - 1], 0xc0);
-	data[0]--;
-	b.len--;
-	return b;
+	while (earlier.count > 0 && t->fields[earlier.count - 1].offset != offset)
+		earlier.count--;
+	earlier.count--;
+	return earlier;
 }
 
 /* Guards against records of an earlier version that can't be read, or are nobody's. */
@@ -67,8 +65,12 @@
 	const struct wl_progress running = {
 		.state = WL_RUNNING, .queue = (char *)"proofs", .org = (char *)"shop"};
 	const struct wl_owner caller = owner("shop", "proofs", "a.example/proofs/");
-	struct bytes spec_record = encode_earlier(&wl_spec_fields, &stored);
-	struct bytes progress_record = encode_earlier(&wl_progress_fields, &running);
+	const struct field_table spec_fields =
+		fields_before(&wl_spec_fields, offsetof(struct wl_spec, address));
+	const struct field_table progress_fields =
+		fields_before(&wl_progress_fields, offsetof(struct wl_progress, address));
+	struct bytes spec_record = fields_encode(&spec_fields, &stored);
+	struct bytes progress_record = fields_encode(&progress_fields, &running);
 	struct wl_spec spec = {0};
 	struct wl_spec repeat = stored;
 	struct wl_progress progress = {0};
--- a/tests/unit/test-workload.c
+++ b/tests/unit/test-workload.c
@@ -992,8 +992,52 @@
 		PF_HEARTBEAT_INVALID);
 }
 
+/*
+ * Guards against a job that is completed without having run: a worker lists the end of a run of
+ * an earlier job with the same id. The attempts of both differ, also for the next coordinator.
+ */
+static void test_id_used_again(void)
+{
+	struct wl_run run = {.task = (char *)"0000000000000001.0.0.0", .attempt = 1};
+	struct wl_ended end = {.number = 1, .task = run.task, .attempt = 1, .how = WL_END_DONE};
+	g_autoptr(GPtrArray) expired = NULL;
+	struct wl_progress p = {0};
+	struct fixture f;
+	struct bytes record;
+	uint64_t version;
+
+	fixture_init(&f);
+	report_worker(&f, "w1", NULL, 0, NULL, 0);
+	submit_job(&f, 1, "batch", 1, 8, 1000, false);
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.last_attempt, 1);
+	report_worker(&f, "w1", &run, 1, NULL, 0);
+	/* The worker is cut off for longer than its run and the job's record last. */
+	wl_node_unreachable(f.wl, f.now, "w1");
+	wl_job_cancel(f.wl, f.now, f.now, "0000000000000001");
+	store_dirty_jobs(&f);
+	f.now += 200 * SEC;
+	g_ptr_array_unref(wl_nodes_expired(f.wl, f.now));
+	expired = wl_jobs_expired(f.wl, f.now);
+	CU_ASSERT_EQUAL(expired->len, 1);
+	wl_job_forget(f.wl, "0000000000000001");
+	submit_job(&f, 1, "batch", 1, 8, 1000, false);
+	report_worker(&f, "w1", NULL, 0, &end, 1);
+	CU_ASSERT_TRUE(wl_job_is_open(f.wl, "0000000000000001"));
+	run_pass(&f);
+	CU_ASSERT_EQUAL(f.starts, 2);
+	CU_ASSERT_EQUAL(f.last_attempt, 2);
+	record = wl_job_progress(f.wl, "0000000000000001", &version);
+	CU_ASSERT_TRUE(fields_decode(&wl_progress_fields, &p, record.data, record.len, NULL));
+	CU_ASSERT_EQUAL(p.first_attempt, 2);
+	bytes_clear(&record);
+	fields_clear(&wl_progress_fields, &p);
+	fixture_clear(&f);
+}
+
 void unit_workload(CU_pSuite s)
 {
+	CU_add_test(s, "an id is used again after its job is removed", test_id_used_again);
 	CU_add_test(s, "jobs: due occurrences wait while as many tasks are open as fit",
 		test_due_occurrences_wait);
 	CU_add_test(
