--- a/packages/daemon/wl-entry.c
+++ b/packages/daemon/wl-entry.c
@@ -16,7 +16,8 @@
  * The longest time for a call. If its caller gives a timeout, that less REPLY_MARGIN applies if
  * it is shorter; a caller's timeout of REPLY_MARGIN or less is ignored.
  */
-#define CALL_TIMEOUT (2500 * NSEC_PER_MSEC)
+#define CALL_TIMEOUT   (2500 * NSEC_PER_MSEC)
+#define TIMEOUT_MAX_MS 60000 /* a longer one is no different */
 /* Part of the caller's deadline that is reserved for the answer to arrive. */
 #define REPLY_MARGIN (150 * NSEC_PER_MSEC)
 /* New calls may arrive this long after the signal to stop, until the balancer notices. */
@@ -46,8 +47,8 @@
 	struct wl_entry *e = arg;
 	struct entry_call *c = xcalloc(1, sizeof(*c));
 	const char *header = http_header(r, PF_DEADLINE_HEADER);
-	int64_t timeout =
-		header != NULL ? g_ascii_strtoll(header, NULL, 10) * NSEC_PER_MSEC : 0;
+	int64_t timeout_ms = header != NULL ? g_ascii_strtoll(header, NULL, 10) : 0;
+	int64_t timeout = CLAMP(timeout_ms, 0, TIMEOUT_MAX_MS) * NSEC_PER_MSEC;
 
 	c->entry = e;
 	c->request = r;
--- a/packages/workload/wl-config.c
+++ b/packages/workload/wl-config.c
@@ -32,6 +32,7 @@
 	c->orgs = g_ptr_array_new_with_free_func(org_free);
 	c->orgs_by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	c->queues_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	c->orgs_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return c;
 }
 
@@ -66,6 +67,8 @@
 void wl_config_add_org(struct wl_config *c, struct wl_org *o)
 {
 	g_ptr_array_add(c->orgs, o);
+	if (!g_hash_table_contains(c->orgs_by_name, o->name))
+		g_hash_table_insert(c->orgs_by_name, o->name, o);
 	for (guint i = 0; i < o->keys->len; i++)
 		g_hash_table_replace(c->orgs_by_key, o->keys->pdata[i], o);
 }
@@ -76,6 +79,7 @@
 		return;
 	g_hash_table_destroy(c->orgs_by_key);
 	g_hash_table_destroy(c->queues_by_name);
+	g_hash_table_destroy(c->orgs_by_name);
 	g_ptr_array_unref(c->queues);
 	g_ptr_array_unref(c->orgs);
 	free(c);
@@ -122,11 +126,5 @@
 /* Returns the organisation with a name, or NULL. */
 const struct wl_org *wl_config_org(const struct wl_config *c, const char *name)
 {
-	for (guint i = 0; c != NULL && name != NULL && i < c->orgs->len; i++) {
-		const struct wl_org *o = c->orgs->pdata[i];
-
-		if (strcmp(o->name, name) == 0)
-			return o;
-	}
-	return NULL;
+	return c != NULL && name != NULL ? g_hash_table_lookup(c->orgs_by_name, name) : NULL;
 }
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -190,6 +190,7 @@
 	GPtrArray *orgs;
 	GHashTable *orgs_by_key;
 	GHashTable *queues_by_name;
+	GHashTable *orgs_by_name;
 };
 struct wl_config *wl_config_new(void);
 void wl_config_add_queue(struct wl_config *c, struct wl_queue *q);
