A job counts as pending until it has begun

Cause: commit_placements stored the state running with the placement, and it was taken back only when all tasks waited again, up to 10.5 s later.

Change: the state follows the first run that a worker confirms, lists or ends; a gang's, all members. That write waits up to 0.3 s for others, so jobs that begin together share a call. A record of an earlier version that says running is queued after a takeover until a run is seen. Jobs of a renamed queue count.

Unit suite "begin".

--- a/packages/daemon/wl-coord-records.c
+++ b/packages/daemon/wl-coord-records.c
@@ -17,6 +17,8 @@
  * ms.
  */
 #define BATCH_DELAY (50 * NSEC_PER_MSEC)
+/* The same for what only callers are told: jobs that begin within this time share calls. */
+#define TOLD_DELAY (300 * NSEC_PER_MSEC)
 
 /* Answers of the store that were sent before a removal arrive within this. */
 #define REMOVED_KEEP (60 * NSEC_PER_SEC)
@@ -65,6 +67,7 @@
 	bool freed;
 	struct loop_timer *retry;
 	struct loop_timer *batch;
+	struct loop_timer *told; /* as batch, with TOLD_DELAY */
 };
 
 static void flush(struct record_writer *r);
@@ -115,15 +118,32 @@
 	flush_now(r);
 }
 
+static void on_told(void *arg)
+{
+	struct record_writer *r = arg;
+
+	r->told = NULL;
+	flush_now(r);
+}
+
 /* Queues a job's changed progress for writing. */
 void record_writer_mark_dirty(
 	struct record_writer *r, const char *id, enum wl_store_urgency urgency)
 {
 	enqueue(r, record_get(r, id));
-	if (urgency == WL_STORE_NOW)
+	switch (urgency) {
+	case WL_STORE_NOW:
 		flush_now(r);
-	else if (r->batch == NULL)
-		r->batch = loop_timer_add(r->p->loop, BATCH_DELAY, 0, on_batch, r);
+		break;
+	case WL_STORE_SOON:
+		if (r->batch == NULL)
+			r->batch = loop_timer_add(r->p->loop, BATCH_DELAY, 0, on_batch, r);
+		break;
+	case WL_STORE_LATER:
+		if (r->told == NULL)
+			r->told = loop_timer_add(r->p->loop, TOLD_DELAY, 0, on_told, r);
+		break;
+	}
 }
 
 void record_writer_note_revision(struct record_writer *r, const char *id, int64_t revision)
@@ -472,7 +492,9 @@
 		loop_timer_del(r->p->loop, r->retry);
 	r->retry = NULL;
 	loop_timer_del(r->p->loop, r->batch);
+	loop_timer_del(r->p->loop, r->told);
 	r->batch = NULL;
+	r->told = NULL;
 	if (r->commit_in_flight)
 		return;
 	g_queue_clear(&r->queue);
--- a/packages/daemon/wl-entry-job.c
+++ b/packages/daemon/wl-entry-job.c
@@ -561,6 +561,23 @@
 
 static void read_depth_page(struct wl_entry *e, const char *after);
 
+/* The name by which the configuration knows a waiting job's queue, which may be renamed. */
+static const char *depth_queue(const struct wl_entry *e, const struct wl_progress *p)
+{
+	const struct wl_config *config = config_feed_get(e->feed);
+
+	if (config == NULL || p->address == NULL || wl_config_queue(config, p->queue) != NULL)
+		return p->queue;
+	for (guint i = 0; i < config->queues->len; i++) {
+		const struct wl_queue *q = config->queues->pdata[i];
+		AUTOFREE char *address = wl_queue_address(q);
+
+		if (strcmp(address, p->address) == 0)
+			return q->name;
+	}
+	return p->queue;
+}
+
 /* Counts the jobs that have not started in one page of the progress records. */
 static void on_depth_page_read(const struct kv_result *r, void *arg)
 {
@@ -576,9 +593,11 @@
 			    &wl_progress_fields, &p, it->value.data, it->value.len, NULL))
 			continue;
 		if (p.state == WL_QUEUED && p.queue != NULL) {
+			const char *queue = depth_queue(e, &p);
+
 			n = GPOINTER_TO_SIZE(
-				g_hash_table_lookup(e->queue_depth_partial, p.queue));
-			g_hash_table_replace(e->queue_depth_partial, g_strdup(p.queue),
+				g_hash_table_lookup(e->queue_depth_partial, queue));
+			g_hash_table_replace(e->queue_depth_partial, g_strdup(queue),
 				GSIZE_TO_POINTER(n + 1));
 		}
 		fields_clear(&wl_progress_fields, &p);
--- a/packages/workload/wl-job.c
+++ b/packages/workload/wl-job.c
@@ -231,7 +231,7 @@
 		return;
 	u = &j->occurrences[m->occurrence][m->step];
 	if (m->done || m->failures > 0 || m->checkpoint != NULL)
-		j->begun = true;
+		job_begin(j);
 	if (m->index == WL_INDEX_GANG) {
 		u->failures = m->failures;
 		u->failed_attempt = m->failed_attempt;
@@ -325,6 +325,12 @@
 			open_next_occurrence(j, now);
 		apply_mark(j, &p->marks[i]);
 	}
+	if (j->state == WL_RUNNING && !j->begun && p->first_attempt == 0) {
+		/* An earlier version: nothing may have started. */
+		j->state = WL_QUEUED;
+		job_request_store(j, WL_STORE_LATER);
+	}
+	j->begun |= j->state == WL_RUNNING;
 }
 
 /* Ends a job: stops its runs and requests that the final state be stored. */
--- a/packages/workload/wl-pass.c
+++ b/packages/workload/wl-pass.c
@@ -218,8 +218,6 @@
 			p->node->name, checkpoint, (now - t->waiting_since) / NSEC_PER_MSEC);
 	}
 	crash_release(u);
-	if (j->state == WL_QUEUED)
-		j->state = WL_RUNNING;
 	job_request_store(j, WL_STORE_NOW);
 }
 
--- a/packages/workload/wl-private.h
+++ b/packages/workload/wl-private.h
@@ -180,6 +180,7 @@
 	uint32_t done_count;	/* tasks that are done */
 	uint32_t waiting_count; /* tasks that are waiting to be placed */
 	uint32_t active_count;	/* tasks that are placed, starting or running */
+	uint32_t running_count; /* tasks whose runs the worker has confirmed */
 	/* Highest attempt number of any of its tasks. */
 	uint32_t attempt;
 	/* Gangs only: failed attempts of the whole gang, and the last one that was counted. */
@@ -225,7 +226,7 @@
 	struct wl *wl;
 	struct wl_spec spec;
 	uint32_t state;
-	bool begun; /* a run of a task is known to have started */
+	bool begun; /* a task, or a whole gang, is known to have started */
 	int64_t added_at;
 	int64_t ended_ms;
 	/*
@@ -491,6 +492,7 @@
 void task_stop(struct wl_task *t, int64_t now, const char *why, const char *beneficiary);
 void task_cancel_start(struct wl_task *t, int64_t now);
 void task_confirm_running(struct wl_task *t, int64_t now);
+void job_begin(struct wl_job *j);
 void wl_run_ended(
 	struct wl *w, struct wl_node *n, int64_t now, int64_t wall, const struct wl_ended *e);
 void unit_stop(struct wl_unit *u, int64_t now, const char *why, const char *beneficiary);
--- a/packages/workload/wl-run.c
+++ b/packages/workload/wl-run.c
@@ -42,6 +42,8 @@
 		t->unit->active_count--;
 	if (phase_is_active(phase))
 		t->unit->active_count++;
+	t->unit->running_count -= t->phase == TASK_RUNNING;
+	t->unit->running_count += phase == TASK_RUNNING;
 	t->phase = phase;
 }
 
@@ -79,17 +81,26 @@
 	return true;
 }
 
+/* Logs that a job waits again none of whose starts took effect. */
+static void log_unstarted(const struct wl_job *j)
+{
+	if (!j->begun && !wl_state_ended(j->state) && job_waits(j))
+		event_log(EV_JOB_REQUEUED, "job=%s", j->spec.id);
+}
+
 /*
- * Queues a job again none of whose starts took effect. Its state was stored with its first
- * placement, and the depth of its queue is counted by the stored states.
+ * A job runs from now on, as its callers see it. Until then it counts as waiting, wherever it
+ * is placed: a worker that has lost power is placed on like any other for some seconds.
  */
-static void job_requeue_unstarted(struct wl_job *j)
+void job_begin(struct wl_job *j)
 {
-	if (j->begun || j->state != WL_RUNNING || !job_waits(j))
+	if (j->begun)
+		return;
+	j->begun = true;
+	if (j->state != WL_QUEUED)
 		return;
-	j->state = WL_QUEUED;
-	event_log(EV_JOB_REQUEUED, "job=%s", j->spec.id);
-	job_request_store(j, WL_STORE_SOON);
+	j->state = WL_RUNNING;
+	job_request_store(j, WL_STORE_LATER);
 }
 
 /*
@@ -125,17 +136,20 @@
 	task_set_phase(t, TASK_WAITING);
 	t->waiting_since = now;
 	t->unit->waiting_count++;
-	job_requeue_unstarted(t->unit->job);
+	log_unstarted(t->unit->job);
 }
 
-/* Records that a worker has confirmed a run. */
+/* Records that a worker has confirmed a run. A gang works once all its members run. */
 void task_confirm_running(struct wl_task *t, int64_t now)
 {
-	t->unit->job->begun = true;
-	if (t->phase != TASK_STARTING)
-		return;
-	task_set_phase(t, TASK_RUNNING);
-	t->running_at = now;
+	struct wl_unit *u = t->unit;
+
+	if (t->phase == TASK_STARTING) {
+		task_set_phase(t, TASK_RUNNING);
+		t->running_at = now;
+	}
+	if (!u->step->gang || u->running_count == u->step->count)
+		job_begin(u->job);
 }
 
 /*
@@ -401,7 +415,10 @@
 			task_detach(t, now, "ended");
 		return;
 	}
-	t->unit->job->begun = true;
+	/* A gang's member may have ended while it waited for the others. */
+	if (!t->unit->step->gang || e->how == WL_END_DONE || e->how == WL_END_FAILED ||
+		e->how == WL_END_BROKEN)
+		job_begin(t->unit->job);
 	current = t->node == n && t->attempt == e->attempt;
 	started_at = current ? t->placed_at : 0;
 	t->attempt = MAX(t->attempt, e->attempt);
--- a/packages/workload/workload.h
+++ b/packages/workload/workload.h
@@ -99,8 +99,8 @@
 };
 
 enum wl_state {
-	WL_QUEUED,
-	WL_RUNNING,
+	WL_QUEUED,  /* no task is known to have started, though some may be placed */
+	WL_RUNNING, /* in records of earlier versions also if tasks are only placed */
 	WL_COMPLETED,
 	WL_FAILED,
 	WL_CANCELLED
@@ -457,8 +457,9 @@
 
 /* Whether anything waits for a change to be stored. */
 enum wl_store_urgency {
-	WL_STORE_NOW, /* starts, dependent steps or the job's caller */
-	WL_STORE_SOON /* nothing: the change may be stored together with later ones */
+	WL_STORE_NOW,  /* starts, dependent steps or the job's caller */
+	WL_STORE_SOON, /* nothing: the change may be stored together with later ones */
+	WL_STORE_LATER /* nothing but what callers are told, which may be a second old */
 };
 
 /* Callbacks through which the core sends orders and requests storage. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -21,6 +21,7 @@
 	unit_records(CU_add_suite("records", NULL, NULL));
 	unit_crash(CU_add_suite("crash", NULL, NULL));
 	unit_owner(CU_add_suite("owner", NULL, NULL));
+	unit_begin(CU_add_suite("begin", NULL, NULL));
 	unit_json(CU_add_suite("json", NULL, NULL));
 	unit_checkpoint(CU_add_suite("checkpoint", NULL, NULL));
 	unit_cost(CU_add_suite("cost", NULL, NULL));
--- a/tests/unit/test-records.c
+++ b/tests/unit/test-records.c
@@ -438,6 +438,30 @@
 	store_clear(&s);
 }
 
+/* Guards against a write for each job that begins: those that begin together share one. */
+static void test_told_changes_share_a_call(void)
+{
+	struct fake_store s;
+
+	store_init(&s);
+	report_worker(&s.scheduler, "w1", NULL, 0, NULL, 0);
+	for (unsigned int i = 1; i <= 5; i++) {
+		g_autofree char *id = g_strdup_printf("%016x", i);
+
+		submit_job(&s.scheduler, i, "batch", 1, 1, 1000, false);
+		record_writer_mark_dirty(s.records, id, WL_STORE_LATER);
+		s.now += 20 * MS;
+		loop_timer_add(s.loop, 0, 0, stop_loop, s.loop);
+		loop_run(s.loop);
+		CU_ASSERT_PTR_NULL(s.sent);
+	}
+	pass_time(&s);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(s.sent);
+	CU_ASSERT_EQUAL(s.sent->txn.write_len, 5);
+	store_settle(&s);
+	store_clear(&s);
+}
+
 /*
  * An ended job is removed by a write that is carried out after another job was accepted under
  * its id: the accepted job is gone from the store.
@@ -572,6 +596,7 @@
 	CU_add_test(
 		s, "node keys: random order of lost and late writes", test_node_keys_random);
 	CU_add_test(s, "job: a page read before its removal", test_job_read_before_removal);
+	CU_add_test(s, "jobs that begin together share a call", test_told_changes_share_a_call);
 	CU_add_test(s, "job: late removal, the id is used again", test_job_late_removal);
 	CU_add_test(s, "job: unanswered removal, the id is used again",
 		test_job_unanswered_removal);
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -18,6 +18,7 @@
 void unit_cost(CU_pSuite s);
 void unit_crash(CU_pSuite s);
 void unit_owner(CU_pSuite s);
+void unit_begin(CU_pSuite s);
 void unit_json(CU_pSuite s);
 void unit_checkpoint(CU_pSuite s);
 
