One call without an answer doesn't prove that a worker has left

Change: a worker that has said that it leaves counts as gone once its machine refuses the connection, another life answers, or all its leases have run out and it has been silent for as long as a lost one. Until then it is asked again.

--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -449,14 +449,22 @@
 	report_runs(w, &none);
 }
 
-/* Whether an answer shows that the current instance is still there. */
-static bool is_still_there(
+/*
+ * Whether a call shows that the current instance has ended: nobody listens in its place, or
+ * another instance does. A call without an answer shows nothing, unless all leases have run out
+ * and the worker has been silent for as long as one that is lost.
+ */
+static bool shows_that_it_left(
 	const struct wl_worker *w, const struct http_call *c, const struct pf_reply *r)
 {
-	if (c->error != NULL || r->kind == PF_REPLY_NO_ANSWER ||
-		r->kind == PF_REPLY_OTHER_INSTANCE)
-		return false;
-	return r->instance_started_at == 0 || r->instance_started_at == w->instance_started_at;
+	int64_t now = worker_now(w);
+
+	if (c->nobody_listens || r->kind == PF_REPLY_OTHER_INSTANCE)
+		return true;
+	if (r->kind == PF_REPLY_NO_ANSWER || c->error != NULL)
+		return now > w->lease_end_at &&
+		       now - MAX(w->heard_at, w->heartbeat_at) >= LOST_SILENCE;
+	return r->instance_started_at != 0 && r->instance_started_at != w->instance_started_at;
 }
 
 static void leaving_worker_asked(struct http_call *c, void *arg)
@@ -469,7 +477,7 @@
 	pf_reply_parse(c, &r);
 	if (w->freed) {
 		wl_worker_free(w);
-	} else if (w->leaving && is_still_there(w, c, &r)) {
+	} else if (w->leaving && !shows_that_it_left(w, c, &r)) {
 		loop_timer_add(w->p->loop, RENEWAL_RETRY_DELAY, 0, ask_leaving_worker, w);
 	} else if (w->leaving) {
 		w->leaving = false;
@@ -497,7 +505,7 @@
 /*
  * Handles the heartbeat of a worker that leaves, of which only the id is known. It may come
  * late, from an instance before the current one under the same id, so it is believed once the
- * worker doesn't answer any more. A worker that goes on sends another heartbeat.
+ * instance has shown to have ended. A worker that goes on sends another heartbeat.
  */
 static void process_leave(struct wl_worker *w, const struct pf_heartbeat *h)
 {
--- a/packages/transport/http-client.c
+++ b/packages/transport/http-client.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <pthread.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -147,10 +148,12 @@
 	const char *type = NULL;
 	long status = 0;
 	long request_size = 0;
+	long os_error = 0;
 
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(t->easy, CURLINFO_CONTENT_TYPE, &type);
 	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &request_size);
+	curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &os_error);
 	if (code == CURLE_OK) {
 		c->status = (int)status;
 		c->type = xstrdup(type);
@@ -158,6 +161,7 @@
 	} else {
 		error_set(&c->error, ERR_UPSTREAM_FAILED, "%s", curl_easy_strerror(code));
 		c->never_sent = code == CURLE_COULDNT_CONNECT && request_size == 0;
+		c->nobody_listens = c->never_sent && os_error == ECONNREFUSED;
 	}
 	curl_easy_cleanup(t->easy);
 	g_byte_array_unref(t->response);
--- a/packages/transport/transport.h
+++ b/packages/transport/transport.h
@@ -157,6 +157,7 @@
 	GError *error;
 	/* No connection could be established, so the server cannot have seen the request. */
 	bool never_sent;
+	bool nobody_listens; /* never_sent, as the server's machine refused the connection */
 	/* Called on the client's event loop; takes ownership of the call. */
 	void (*done)(struct http_call *call, void *arg);
 	void *arg;
