A report of another writer doesn't silence the worker's own

Cause: process_heartbeat compared the service with nothing, and heartbeat_outdated believed a sequence for good.

Change: a report in another service than the settings' is ignored; the settings file is read again first, at most once a second. Three overtaken reports in a row, in their order, are taken as the worker's own.

--- a/packages/daemon/wl-worker-private.h
+++ b/packages/daemon/wl-worker-private.h
@@ -58,7 +58,11 @@
 	/* The last heartbeat that was not outdated; its id is NULL before the first. */
 	struct pf_heartbeat heartbeat;
 	int64_t heartbeat_at;
-	int64_t spoke_at; /* the last heartbeat, also if it was outdated */
+	/* The last one that was overtaken, and how many there were in a row, in their order. */
+	int64_t overtaken_sequence;
+	unsigned int overtaken_run;
+	int64_t settings_read_at; /* when the settings were last looked up for the service */
+	int64_t spoke_at;	  /* the last heartbeat, also if it was outdated */
 	/* It has said that it leaves, and is asked whether it still answers. */
 	bool leaving;
 	bool left; /* it has left */
--- a/packages/daemon/wl-worker.c
+++ b/packages/daemon/wl-worker.c
@@ -405,12 +405,48 @@
 		renew_and_list(w);
 }
 
+/* The settings are looked up at most this often for a heartbeat of another service. */
+#define SETTINGS_READ_INTERVAL NSEC_PER_SEC
+/* So many overtaken heartbeats in their order are those of the worker. */
+#define OVERTAKEN_RUN_MAX 3
+
+/* Whether a service is that of this VM's worker, which a change of the settings may replace. */
+static bool is_own_service(struct wl_worker *w, const char *service)
+{
+	struct pf_settings *own = &w->p->settings;
+	struct pf_settings now;
+
+	if (own->service == NULL || strcmp(own->service, service) == 0)
+		return true;
+	if (worker_now(w) - w->settings_read_at < SETTINGS_READ_INTERVAL ||
+		!pf_settings_read(&now, NULL))
+		return false;
+	w->settings_read_at = worker_now(w);
+	free(own->service);
+	own->service = xstrdup(now.service);
+	pf_settings_clear(&now);
+	return own->service == NULL || strcmp(own->service, service) == 0;
+}
+
+/*
+ * Whether overtaken heartbeats of the current instance go on in their order: they are the
+ * worker's, and the later one was another writer's. Late ones come mixed with newer ones.
+ */
+static bool goes_on_overtaken(struct wl_worker *w, const struct pf_heartbeat *h)
+{
+	if (h->sequence <= w->overtaken_sequence)
+		w->overtaken_run = 0;
+	w->overtaken_sequence = h->sequence;
+	w->overtaken_run++;
+	return w->overtaken_run >= OVERTAKEN_RUN_MAX;
+}
+
 /*
  * Why a heartbeat is outdated, NULL if it is not: a later one of its instance has overtaken it,
  * or it is of an instance before the current one. An earlier start time may also mean that the
  * worker's clock was set back, so it counts only while the current instance may be alive.
  */
-static const char *heartbeat_outdated(const struct wl_worker *w, const struct pf_heartbeat *h)
+static const char *heartbeat_outdated(struct wl_worker *w, const struct pf_heartbeat *h)
 {
 	bool may_be_alive = !w->left && !w->lost && !w->replaced;
 
@@ -419,7 +455,7 @@
 	if (h->instance_started_at == w->heartbeat.instance_started_at &&
 		strcmp(h->id, w->heartbeat.id) == 0 && h->sequence >= 0 &&
 		h->sequence <= w->heartbeat.sequence)
-		return "overtaken";
+		return goes_on_overtaken(w, h) ? NULL : "overtaken";
 	if (h->instance_started_at == w->instance_started_at || !may_be_alive)
 		return NULL;
 	return h->instance_started_at < w->instance_started_at ||
@@ -527,6 +563,12 @@
 	struct pf_heartbeat *h = &received->heartbeat;
 	const char *outdated;
 
+	if (h->service != NULL && !is_own_service(w, h->service)) {
+		event_log(EV_BAD_INPUT, "from=worker what=\"%s is of the service %s\"", h->id,
+			h->service);
+		pf_heartbeat_clear(h);
+		return;
+	}
 	w->spoke_at = worker_now(w);
 	if (h->service == NULL) {
 		process_leave(w, h);
@@ -547,6 +589,7 @@
 		pf_heartbeat_clear(&w->heartbeat);
 		w->heartbeat = *h;
 		w->heartbeat_at = w->spoke_at;
+		w->overtaken_run = 0;
 		if (w->leaving)
 			event_log(EV_REPORT_OUTDATED,
 				"report=%s sequence=-1 life=%s why=\"it goes on\"", h->id,
