A lasting job is not given up for crashes of its workers

Change: the job of such a task stays; the task goes on starting by itself, so a crash loses no other run.

--- a/packages/workload/wl-crash.c
+++ b/packages/workload/wl-crash.c
@@ -201,11 +201,17 @@
 	int64_t at;
 };
 
-/* Keeps a task from starting again until it is known whether its job is given up. */
+/*
+ * Keeps a task from starting again until it is known whether its job is given up. A task that
+ * runs until its job is cancelled has no limit, of failures or of crashes: it goes on starting
+ * by itself, where a crash loses no other run.
+ */
 static void fail_job_later(struct wl_task *t, int64_t now)
 {
 	struct pending_failure c = {.crashes = t->crashes.count, .at = now};
 
+	if (t->unit->step->long_running)
+		return;
 	g_strlcpy(c.job, t->unit->job->spec.id, sizeof(c.job));
 	t->unit->retry_at = MAX(t->unit->retry_at, now + BURST_TIME + 1);
 	g_array_append_val(t->unit->job->wl->pending_failures, c);
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -189,6 +189,39 @@
 	cluster_clear(&c);
 }
 
+/*
+ * Guards against a lasting job that is failed for crashes (LOST): it is started again each
+ * time, and once its workers hold it runs. No other job is given up or loses its run meanwhile.
+ */
+static void test_lasting_task_is_not_given_up(void)
+{
+	struct wl_step step = {.count = 1, .accelerators = 1, .long_running = true};
+	const struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = &step,
+		.steps_len = 1};
+	struct cluster c;
+	unsigned int starts;
+
+	cluster_init(&c, 4, "1");
+	submit_job(&c.f, 2, "batch", 1, 1, 600000, false);
+	cluster_run(&c, 5 * SEC);
+	wl_job_add(c.f.wl, c.f.now, c.f.now, &spec, NULL);
+	cluster_run(&c, 60 * SEC);
+	starts = count_starts(&c, '1');
+	CU_ASSERT_TRUE(starts > 5);
+	CU_ASSERT_TRUE(wl_job_is_open(c.f.wl, "0000000000000001"));
+	CU_ASSERT_TRUE(count_starts(&c, '2') <= 2);
+	CU_ASSERT_STRING_NOT_EQUAL(running_on(&c, '2'), "");
+	c.deadly[0] = '\0';
+	cluster_run(&c, 10 * SEC);
+	CU_ASSERT_EQUAL(count_starts(&c, '1') - starts <= 1, true);
+	CU_ASSERT_STRING_NOT_EQUAL(running_on(&c, '1'), "");
+	cluster_clear(&c);
+}
+
 /* BUDGET: the worker crashes before it answers the start. */
 static void test_unanswered_crashing_task_is_given_up(void)
 {
@@ -518,6 +551,8 @@
 {
 	CU_add_test(s, "task that crashes workers: given up after the second",
 		test_crashing_task_is_given_up);
+	CU_add_test(s, "lasting task that crashes workers: not given up",
+		test_lasting_task_is_not_given_up);
 	CU_add_test(s, "task that crashes workers before they answer: given up after the third",
 		test_unanswered_crashing_task_is_given_up);
 	CU_add_test(s, "gang that crashes workers: given up", test_crashing_gang_is_given_up);
