--- a/packages/daemon/wl-worker-order.c
+++ b/packages/daemon/wl-worker-order.c
@@ -152,13 +152,13 @@
 
 	order_parse_reply(c, &r);
 	s->call_pending = false;
-	if (s->dropped)
-		pending_start_free(s);
-	else if (r.kind == PF_REPLY_OK)
+	s->void_lists_after = 0;
+	if (r.kind == PF_REPLY_OK)
 		s->voided_at = worker_now(w);
 	else
 		s->last_try_at = worker_now(w);
-	s->void_lists_after = 0;
+	if (s->dropped)
+		pending_start_free(s);
 	order_call_free(c, &r);
 }
 
--- a/packages/standin/standin-platform.c
+++ b/packages/standin/standin-platform.c
@@ -50,6 +50,8 @@
  *   {"busy":true}        all workers answer starts with 503 and don't carry them out
  *   {"late_ms":8000}     how much later late_orders carries them out
  *   {"refuse_stops":true} the workers answer stops with 503
+ *   {"crash_on_stop":1}  the worker that gets the next stop doesn't answer it, crashes, and at
+ * once reports as a new life
  *   {"lost_starts":1}    the next start is carried out and never answered
  *   {"refuse_starts":1}  the next start after those that the faults above concern is answered
  *                        with "refuse_status" (503) and "refuse_reason", and not carried out
@@ -208,6 +210,7 @@
 static json_int_t start_answers_to_drop;
 static int64_t start_delay_ms = START_DELAY_MS;
 static bool refuse_stops;
+static json_int_t crashes_on_stop;
 static unsigned int renewals;
 static json_int_t starts_to_refuse;
 static int refuse_status;
@@ -845,6 +848,8 @@
 		start_answers_to_drop = json_integer_value(json_object_get(in, "lost_starts"));
 	if (json_object_get(in, "late_ms") != NULL)
 		start_delay_ms = json_integer_value(json_object_get(in, "late_ms"));
+	if (json_object_get(in, "crash_on_stop") != NULL)
+		crashes_on_stop = json_integer_value(json_object_get(in, "crash_on_stop"));
 	if (json_object_get(in, "refuse_stops") != NULL)
 		refuse_stops = json_is_true(json_object_get(in, "refuse_stops"));
 	set_refusals(in);
@@ -1176,6 +1181,10 @@
 				(json_int_t)now_ms()));
 	} else if (strcmp(path, "/v1/run-start") == 0) {
 		worker_start(w, q, in);
+	} else if (strcmp(path, "/v1/run-stop") == 0 && crashes_on_stop > 0) {
+		crashes_on_stop--;
+		worker_crash(w);
+		w->next_heartbeat_ms = 0;
 	} else if (strcmp(path, "/v1/run-stop") == 0 && refuse_stops) {
 		worker_reply(w, q, 503, json_pack("{s:I}", "clock_ms", (json_int_t)now_ms()));
 	} else if (strcmp(path, "/v1/run-stop") == 0) {
