--- a/regress/platform/lib.sh
+++ b/regress/platform/lib.sh
@@ -12,7 +12,14 @@
 done
 base=$((5000 + n * 80))
 pids=()
-trap 'for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done; rm -rf "$dir"' EXIT
+# End what was started and still runs: the id of a process that has ended may be another's by now.
+end_processes() {
+	local p
+	for p in "${pids[@]}"; do
+		[ "$(awk '/^PPid/ { print $2 }' "/proc/$p/status" 2>/dev/null)" = $$ ] && kill -KILL "$p"
+	done
+}
+trap 'end_processes; rm -rf "$dir"' EXIT
 port() { echo "127.0.0.1:$((base + $1))"; }
 
 # Print a node's zone; a script sets zone_NODE before it sources this file (z1).
