--- a/tests/unit/test-begin.c
+++ b/tests/unit/test-begin.c
@@ -146,12 +146,6 @@
 	for (int earlier = 0; earlier <= 1; earlier++) {
 		struct wl_run run = {.task = (char *)TASK0, .attempt = 1};
 		struct wl_step step = {.count = 1, .accelerators = 8};
-		const struct wl_spec spec = {.id = (char *)JOB,
-			.queue = (char *)"batch",
-			.service = (char *)"s",
-			.org = (char *)"o",
-			.steps = &step,
-			.steps_len = 1};
 		struct wl_progress p;
 		struct fixture f;
 
@@ -168,7 +162,7 @@
 		fixture_clear(&f);
 		fixture_init(&f);
 		wl_node_await_report(f.wl, f.now, "w1");
-		wl_job_add(f.wl, f.now, f.now, &spec, &p);
+		add_step_job(&f, &step, &p);
 		CU_ASSERT_EQUAL(f.dirty->len, (guint)earlier);
 		run_pass(&f);
 		CU_ASSERT_EQUAL(f.starts, 0);
@@ -180,7 +174,7 @@
 		CU_ASSERT_EQUAL(read_record(&f, &p), WL_RUNNING);
 		fixture_clear(&f);
 		fixture_init(&f);
-		wl_job_add(f.wl, f.now, f.now, &spec, &p);
+		add_step_job(&f, &step, &p);
 		CU_ASSERT_EQUAL(told_state(&f), WL_RUNNING);
 		fields_clear(&wl_progress_fields, &p);
 		fixture_clear(&f);
--- a/tests/unit/test-checkpoint.c
+++ b/tests/unit/test-checkpoint.c
@@ -29,14 +29,8 @@
 		.estimate_ms = 9000,
 		.checkpoints = true,
 		.gang = gang};
-	const struct wl_spec spec = {.id = (char *)JOB,
-		.queue = (char *)"batch",
-		.service = (char *)"s",
-		.org = (char *)"o",
-		.steps = &step,
-		.steps_len = 1};
 
-	wl_job_add(f->wl, f->now, f->now, &spec, p);
+	add_step_job(f, &step, p);
 }
 
 /* Reports that all tasks of a job run, the first ones with checkpoints of the given lengths. */
--- a/tests/unit/test-crash.c
+++ b/tests/unit/test-crash.c
@@ -196,19 +196,13 @@
 static void test_lasting_task_is_not_given_up(void)
 {
 	struct wl_step step = {.count = 1, .accelerators = 1, .long_running = true};
-	const struct wl_spec spec = {.id = (char *)"0000000000000001",
-		.queue = (char *)"batch",
-		.service = (char *)"s",
-		.org = (char *)"o",
-		.steps = &step,
-		.steps_len = 1};
 	struct cluster c;
 	unsigned int starts;
 
 	cluster_init(&c, 4, "1");
 	submit_job(&c.f, 2, "batch", 1, 1, 600000, false);
 	cluster_run(&c, 5 * SEC);
-	wl_job_add(c.f.wl, c.f.now, c.f.now, &spec, NULL);
+	add_step_job(&c.f, &step, NULL);
 	cluster_run(&c, 60 * SEC);
 	starts = count_starts(&c, '1');
 	CU_ASSERT_TRUE(starts > 5);
--- a/tests/unit/workload-fixture.c
+++ b/tests/unit/workload-fixture.c
@@ -199,6 +199,19 @@
 	wl_job_add(f->wl, f->now, f->now, &spec, NULL);
 }
 
+void add_step_job(
+	struct fixture *f, const struct wl_step *step, const struct wl_progress *progress)
+{
+	const struct wl_spec spec = {.id = (char *)"0000000000000001",
+		.queue = (char *)"batch",
+		.service = (char *)"s",
+		.org = (char *)"o",
+		.steps = (struct wl_step *)step,
+		.steps_len = 1};
+
+	wl_job_add(f->wl, f->now, f->now, &spec, progress);
+}
+
 void run_pass(struct fixture *f)
 {
 	wl_pass(f->wl, f->now, f->now);
--- a/tests/unit/workload-fixture.h
+++ b/tests/unit/workload-fixture.h
@@ -58,6 +58,9 @@
 /* Submits a job of one step; its id is the number in hexadecimal digits. */
 void submit_job(struct fixture *f, unsigned int number, const char *queue, uint32_t count,
 	uint32_t accelerators, uint32_t estimate_ms, bool gang);
+/* Adds job 1, in the queue "batch", of one step; its progress is NULL for a new one. */
+void add_step_job(
+	struct fixture *f, const struct wl_step *step, const struct wl_progress *progress);
 void run_pass(struct fixture *f);
 
 #endif
