--- a/packages/bench/bench-workload.c
+++ b/packages/bench/bench-workload.c
@@ -279,6 +279,16 @@
 	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
 }
 
+static struct wl_callbacks sim_callbacks(struct sim *s)
+{
+	return (struct wl_callbacks){.start = on_start,
+		.stop = on_stop,
+		.pace = on_pace,
+		.stored = on_stored,
+		.dirty = on_dirty,
+		.arg = s};
+}
+
 #define MEMORY_TASKS  170000
 #define TASKS_PER_JOB 17000
 #define MEMORY_NODES  10000
@@ -291,12 +301,7 @@
 {
 	struct sim s = {.now = 100 * NSEC_PER_SEC};
 	const struct wl_limits limits = {.retention = 150 * NSEC_PER_SEC};
-	const struct wl_callbacks callbacks = {.start = on_start,
-		.stop = on_stop,
-		.pace = on_pace,
-		.stored = on_stored,
-		.dirty = on_dirty,
-		.arg = &s};
+	const struct wl_callbacks callbacks = sim_callbacks(&s);
 	struct wl_step step = {.count = TASKS_PER_JOB, .checkpoints = true};
 	g_autofree struct wl_mark *marks = g_new0(struct wl_mark, TASKS_PER_JOB);
 	g_autofree char *checkpoint = g_strnfill(checkpoint_len, 'c');
@@ -350,12 +355,7 @@
 		.reclaim_max = 2900 * NSEC_PER_MSEC,
 		.retention = 150 * NSEC_PER_SEC};
 	struct sim s = {.now = 100 * NSEC_PER_SEC};
-	const struct wl_callbacks callbacks = {.start = on_start,
-		.stop = on_stop,
-		.pace = on_pace,
-		.stored = on_stored,
-		.dirty = on_dirty,
-		.arg = &s};
+	const struct wl_callbacks callbacks = sim_callbacks(&s);
 	struct wl_config *config = make_config(workers);
 	double jobs_due[ARRAY_LEN(job_kinds)] = {0};
 	double pass_cpu_s = 0;
